--- /dev/null
+++ b/config.go
@@ -0,0 +1,146 @@
+package vanillabarrow
+
+import "time"
+
+// Version is the platform's revision of a published value. It only grows.
+type Version uint64
+
+// Topic names one kind of published value.
+type Topic string
+
+// Topics that are distributed.
+const (
+	TopicConfig Topic = "config"
+	TopicVMs    Topic = "vms"
+)
+
+// Part is one named piece of a published value.
+type Part struct {
+	Name   string
+	Digest string
+	Bytes  []byte
+}
+
+// Bundle is one published version as raw bytes. Nodes relay bundles unchanged,
+// whatever their own verdict on the content is.
+type Bundle struct {
+	Topic   Topic
+	Version Version
+	// Root is the value at the topic's key: a whole document or a manifest.
+	Root []byte
+	// Parts holds the parts that a manifest names, in its order.
+	Parts []Part
+}
+
+// Size returns the number of bytes in the bundle.
+func (b *Bundle) Size() int {
+	n := len(b.Root)
+	for _, p := range b.Parts {
+		n += len(p.Bytes)
+	}
+	return n
+}
+
+// Region is a group of data centres that are near each other.
+type Region struct {
+	Name string `json:"name" yaml:"name"`
+}
+
+// DataCentre is a failure domain with its own VMs.
+type DataCentre struct {
+	Name   string `json:"name" yaml:"name"`
+	Region string `json:"region" yaml:"region"`
+	// Out is set when the rules take the data centre out of service.
+	Out bool `json:"out" yaml:"-"`
+}
+
+// VM is a machine that runs one node.
+type VM struct {
+	Name       string `json:"name" yaml:"name"`
+	DataCentre string `json:"dataCentre" yaml:"dataCentre"`
+	// PeerAddress is the host:port of the node's peer listener.
+	PeerAddress string `json:"peerAddress" yaml:"peerAddress"`
+	// OperatorAddress is the host:port of the node's operator listener.
+	OperatorAddress string `json:"operatorAddress,omitempty" yaml:"operatorAddress"`
+}
+
+// Target is one back end of a service.
+type Target struct {
+	Name    string `json:"name" yaml:"name"`
+	Service string `json:"service" yaml:"service"`
+	VM      string `json:"vm" yaml:"vm"`
+	// Address is the host:port on which the target answers HTTP/1.1.
+	Address string `json:"address" yaml:"address"`
+	// Slots is the number of requests that the warm target runs at once.
+	Slots int `json:"slots" yaml:"slots"`
+	// Connections is the number of connections that the target accepts.
+	Connections int `json:"connections" yaml:"connections"`
+	// Out is set when the rules take the target or its data centre out.
+	Out bool `json:"out" yaml:"-"`
+}
+
+// Service is a named set of targets with its request policy.
+type Service struct {
+	Name string `json:"name"`
+	// Timeout bounds a request that carries no smaller budget.
+	Timeout time.Duration `json:"timeout"`
+	// Retries is the largest number of attempts beyond the first.
+	Retries int `json:"retries"`
+	// IdempotentMethods lists methods that may run more than once.
+	IdempotentMethods []string `json:"idempotentMethods"`
+	// KeyWindow is the time for which a gate remembers an idempotency key.
+	KeyWindow time.Duration `json:"keyWindow"`
+	// NotRunStatuses lists answer statuses by which a target states that it
+	// did not run the request.
+	NotRunStatuses []int `json:"notRunStatuses,omitempty"`
+	// Targets lists the names of the service's targets, sorted.
+	Targets []string `json:"targets"`
+}
+
+// Route sends requests with a host, a path prefix and a method to a service.
+type Route struct {
+	Name string `json:"name" yaml:"name"`
+	// Host is matched exactly, without a port. An empty host matches any.
+	Host string `json:"host,omitempty" yaml:"host"`
+	// PathPrefix is matched on whole path segments.
+	PathPrefix string `json:"pathPrefix" yaml:"pathPrefix"`
+	// Methods lists the matched methods. An empty list matches any.
+	Methods []string `json:"methods,omitempty" yaml:"methods"`
+	Service string   `json:"service" yaml:"service"`
+}
+
+// Snapshot is one compiled configuration version. It is immutable.
+type Snapshot struct {
+	Version     Version
+	Regions     map[string]*Region
+	DataCentres map[string]*DataCentre
+	VMs         map[string]*VM
+	Services    map[string]*Service
+	Targets     map[string]*Target
+	// Routes maps a host to its routes, most specific first. The routes for
+	// any host are under the empty host.
+	Routes map[string][]*Route
+}
+
+// VMState is the platform's word on one VM.
+type VMState string
+
+// States of a VM in the published list.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VMEntry is one entry of the published VM list.
+type VMEntry struct {
+	Name        string  `json:"name"`
+	DataCentre  string  `json:"dataCentre"`
+	PeerAddress string  `json:"peerAddress"`
+	State       VMState `json:"state"`
+}
+
+// VMList is the published list of VMs. It lags behind the truth.
+type VMList struct {
+	Version Version   `json:"version"`
+	VMs     []VMEntry `json:"vms"`
+}
--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,219 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"time"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+)
+
+const (
+	// probeAfter is how long an attempt may stay without an answer before its
+	// gate is asked about it over another connection.
+	probeAfter = 300 * time.Millisecond
+	// askTimeout bounds one question.
+	askTimeout = 500 * time.Millisecond
+	// askAgain is the delay between two questions about a lost attempt.
+	askAgain = 100 * time.Millisecond
+	// settleFor bounds the questions about a lost attempt.
+	settleFor = 2 * time.Second
+)
+
+// outcome is the end of one attempt.
+type outcome struct {
+	answer *vanillabarrow.Answer
+	err    error
+}
+
+// attemptRun is one attempt on its way.
+type attemptRun struct {
+	dispatcher *Dispatcher
+	attempt    *vanillabarrow.Attempt
+	cancel     context.CancelFunc
+	result     chan outcome
+}
+
+func (r *attemptRun) run(ctx context.Context) {
+	answer, err := r.dispatcher.Forwarder.Forward(ctx, r.attempt)
+	r.result <- outcome{answer, err}
+}
+
+// loopDiscard closes an answer that arrives after the attempt was settled in
+// another way.
+func (r *attemptRun) loopDiscard() {
+	if out := <-r.result; out.answer != nil && out.answer.Stream != nil {
+		_ = out.answer.Stream.Close()
+	}
+}
+
+func (d *Dispatcher) attempt(ctx context.Context, f *flight, target *vanillabarrow.Target) (*vanillabarrow.Answer, error) {
+	snapshot := d.Configuration.Snapshot()
+	vm, ok := snapshot.VMs[target.VM]
+	if !ok {
+		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonNoTarget, "no VM "+target.VM)
+	}
+	a := &vanillabarrow.Attempt{
+		ID:          d.NewID(),
+		Request:     f.request,
+		Target:      target,
+		Address:     vm.PeerAddress,
+		Version:     snapshot.Version,
+		Token:       d.Tokens.Get(target.Name),
+		Deadline:    f.deadline,
+		RetriesLeft: max(0, min(f.service.Retries, f.request.RetriesLeft)-f.retries),
+	}
+	d.Loads.begin(target.Name, time.Now())
+	answer, err := d.settled(ctx, a)
+	healthy := true
+	if err != nil {
+		refusal := vanillabarrow.AsRefusal(err)
+		healthy = !faulty(refusal.Reason)
+		d.Tokens.Put(target.Name, refusal.Token)
+		if refusal.Reason == vanillabarrow.ReasonConnectionFailed {
+			d.Members.Suspect(target.VM)
+		}
+	}
+	d.Loads.end(target.Name, healthy, time.Now())
+	return answer, err
+}
+
+// faulty reports whether the reason speaks against the target or its node.
+func faulty(reason vanillabarrow.Reason) bool {
+	switch reason {
+	case vanillabarrow.ReasonTargetDown, vanillabarrow.ReasonTargetFailed,
+		vanillabarrow.ReasonConnectionFailed, vanillabarrow.ReasonAnswerLost:
+		return true
+	default:
+		return false
+	}
+}
+
+// settled sends the attempt and stays with it until its outcome is known, its
+// deadline passes or the gate can't know. While no answer comes it asks the
+// gate over another connection, which finds silent connections.
+func (d *Dispatcher) settled(ctx context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	forwardCtx, cancel := context.WithCancel(ctx)
+	r := &attemptRun{dispatcher: d, attempt: a, cancel: cancel, result: make(chan outcome, 1)}
+	go r.run(forwardCtx)
+	timer := time.NewTimer(probeAfter)
+	defer timer.Stop()
+	for {
+		select {
+		case out := <-r.result:
+			return d.finish(ctx, r, out)
+		case <-timer.C:
+			answer, err, settled := d.probe(ctx, a)
+			if settled {
+				cancel()
+				go r.loopDiscard()
+				return answer, err
+			}
+			timer.Reset(probeAfter)
+		case <-ctx.Done():
+			cancel()
+			go r.loopDiscard()
+			return nil, vanillabarrow.MayHaveRun(expiry(ctx), "no answer in time")
+		}
+	}
+}
+
+func expiry(ctx context.Context) vanillabarrow.Reason {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return vanillabarrow.ReasonDeadline
+	}
+	return vanillabarrow.ReasonCanceled
+}
+
+// finish takes the outcome of the forwarder. An outcome without a verdict of
+// the gate is settled by asking.
+func (d *Dispatcher) finish(ctx context.Context, r *attemptRun, out outcome) (*vanillabarrow.Answer, error) {
+	if out.err == nil {
+		if out.answer.Stream == nil {
+			r.cancel()
+		} else {
+			out.answer.Stream = &cancelingStream{ReadCloser: out.answer.Stream, cancel: r.cancel}
+		}
+		return out.answer, nil
+	}
+	r.cancel()
+	refusal := vanillabarrow.AsRefusal(out.err)
+	if refusal.Verdict != vanillabarrow.VerdictMayHaveRun || !unsettled(refusal.Reason) {
+		return nil, refusal
+	}
+	return d.settle(ctx, r.attempt, refusal)
+}
+
+// unsettled reports whether the gate may know more than the reason tells.
+func unsettled(reason vanillabarrow.Reason) bool {
+	switch reason {
+	case vanillabarrow.ReasonConnectionFailed, vanillabarrow.ReasonAnswerLost, vanillabarrow.ReasonDuplicate:
+		return true
+	default:
+		return false
+	}
+}
+
+// settle asks about an attempt whose answer was lost until the gate tells its
+// end, for a bounded time.
+func (d *Dispatcher) settle(ctx context.Context, a *vanillabarrow.Attempt, refusal *vanillabarrow.Refusal) (*vanillabarrow.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, settleFor)
+	defer cancel()
+	for {
+		if answer, err, settled := d.probe(ctx, a); settled {
+			return answer, err
+		}
+		timer := time.NewTimer(askAgain)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, refusal
+		}
+	}
+}
+
+// probe asks the gate once. Settled is false while the outcome stays open.
+func (d *Dispatcher) probe(ctx context.Context, a *vanillabarrow.Attempt) (answer *vanillabarrow.Answer, err error, settled bool) { //nolint:revive // the flag qualifies both other results
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	report, err := d.Forwarder.Ask(ctx, a)
+	if err != nil {
+		return nil, nil, false
+	}
+	d.Scope.Tagged(map[string]string{"state": report.State.String()}).Counter("settled").Inc(1)
+	switch report.State {
+	case vanillabarrow.AttemptRunning:
+		return nil, nil, false
+	case vanillabarrow.AttemptFinished:
+		if report.Answer == nil {
+			return nil, vanillabarrow.MayHaveRun(vanillabarrow.ReasonAnswerLost, "the answer is no longer stored"), true
+		}
+		return report.Answer, nil, true
+	case vanillabarrow.AttemptFenced:
+		return nil, fenced(a), true
+	default:
+		return nil, vanillabarrow.MayHaveRun(vanillabarrow.ReasonAnswerLost, "the gate reports "+report.State.String()), true
+	}
+}
+
+// fenced returns the verdict on a fenced attempt. The record of an idempotent
+// attempt ends with it, so its absence proves nothing.
+func fenced(a *vanillabarrow.Attempt) error {
+	if a.Request.Idempotent {
+		return vanillabarrow.MayHaveRun(vanillabarrow.ReasonAnswerLost, "the connection went silent")
+	}
+	return vanillabarrow.NotRun(vanillabarrow.ReasonFenced, "the attempt never reached the target")
+}
+
+// cancelingStream ends the context of an attempt with its answer.
+type cancelingStream struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the stream and cancels the context.
+func (s *cancelingStream) Close() error {
+	defer s.cancel()
+	return s.ReadCloser.Close()
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,294 @@
+// Package dispatch takes a caller's request to its end: it chooses targets,
+// sends attempts, settles those without an answer, and retries what may be
+// retried. It does no I/O of its own.
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/idempotency"
+	"github.com/vanillabarrow/vanillabarrow/internal/retry"
+	"github.com/vanillabarrow/vanillabarrow/internal/route"
+)
+
+const (
+	// MaxDepth is the number of mesh hops after which a request counts as a
+	// loop. The deepest expected chain is 22.
+	MaxDepth = 32
+	// subsetSize bounds the targets of one service in one distance group that
+	// a node sends to.
+	subsetSize = 12
+	// retryBase and retryLimit bound the delay before a retry.
+	retryBase  = time.Millisecond
+	retryLimit = 50 * time.Millisecond
+)
+
+// Members is what a dispatcher asks of the membership.
+type Members interface {
+	vanillabarrow.Members
+	// Listed reports whether the published list has the VM as live.
+	Listed(vm string) bool
+	// Suspect notes that a VM refused a connection.
+	Suspect(vm string)
+}
+
+// Config holds what a dispatcher is made of.
+type Config struct {
+	// VM and DataCentre name the node's own place.
+	VM            string
+	DataCentre    string
+	Configuration vanillabarrow.Configuration
+	Members       Members
+	Balancer      vanillabarrow.Balancer
+	Retry         vanillabarrow.RetryPolicy
+	Forwarder     vanillabarrow.Forwarder
+	Loads         *Loads
+	Tokens        *Tokens
+	Scope         tally.Scope
+	// NewID returns a unique id for an attempt.
+	NewID func() string
+}
+
+// Dispatcher implements vanillabarrow.Dispatcher.
+type Dispatcher struct {
+	Config
+}
+
+// New returns a dispatcher.
+func New(cfg Config) *Dispatcher {
+	cfg.Scope = cfg.Scope.SubScope("dispatch")
+	return &Dispatcher{Config: cfg}
+}
+
+// flight is the state of one request on its way.
+type flight struct {
+	request  *vanillabarrow.Request
+	service  *vanillabarrow.Service
+	deadline time.Time
+	tried    map[string]bool
+	attempts int
+	// retries counts attempts beyond the first, here and below.
+	retries    int
+	mayHaveRun bool
+}
+
+// Do implements vanillabarrow.Dispatcher. The context must have a deadline or
+// the service's timeout applies.
+func (d *Dispatcher) Do(ctx context.Context, request *vanillabarrow.Request) (*vanillabarrow.Answer, error) {
+	f, err := d.prepare(ctx, request)
+	if err != nil {
+		return nil, d.refuse(f, vanillabarrow.AsRefusal(err))
+	}
+	ctx, cancel := context.WithDeadline(ctx, f.deadline)
+	answer, err := d.attemptAll(ctx, f)
+	if err != nil {
+		cancel()
+		return nil, d.refuse(f, vanillabarrow.AsRefusal(err))
+	}
+	d.Scope.Counter("finished").Inc(1)
+	answer.Attempts = f.attempts
+	if answer.Stream == nil {
+		cancel()
+		return answer, nil
+	}
+	answer.Stream = &cancelingStream{ReadCloser: answer.Stream, cancel: cancel}
+	return answer, nil
+}
+
+func (d *Dispatcher) prepare(ctx context.Context, request *vanillabarrow.Request) (*flight, error) {
+	f := &flight{request: request, tried: map[string]bool{}}
+	if request.Depth > MaxDepth {
+		return f, vanillabarrow.NotRun(vanillabarrow.ReasonTooDeep, fmt.Sprintf("more than %d hops", MaxDepth))
+	}
+	snapshot := d.Configuration.Snapshot()
+	if snapshot == nil {
+		return f, vanillabarrow.NotRun(vanillabarrow.ReasonNoConfig, "no configuration is in force yet")
+	}
+	service, ok := snapshot.Services[request.Service]
+	if !ok {
+		return f, vanillabarrow.NotRun(vanillabarrow.ReasonNoRoute, "no service "+request.Service)
+	}
+	f.service = service
+	f.deadline = time.Now().Add(service.Timeout)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(f.deadline) {
+		f.deadline = deadline
+	}
+	return f, nil
+}
+
+// refuse completes a refusal. When any attempt may have run, so may have the
+// request.
+func (d *Dispatcher) refuse(f *flight, refusal *vanillabarrow.Refusal) *vanillabarrow.Refusal {
+	r := *refusal
+	if f.mayHaveRun {
+		r.Verdict = vanillabarrow.VerdictMayHaveRun
+	}
+	r.Retries = max(r.Retries, f.retries)
+	d.Scope.Tagged(map[string]string{
+		"verdict": r.Verdict.String(),
+		"reason":  string(r.Reason),
+	}).Counter("refused").Inc(1)
+	return &r
+}
+
+// attemptAll makes attempts until one ends the request.
+func (d *Dispatcher) attemptAll(ctx context.Context, f *flight) (*vanillabarrow.Answer, error) {
+	d.Retry.Observe()
+	refreshed := false
+	var last *vanillabarrow.Refusal
+	for {
+		target := d.choose(f)
+		if target == nil {
+			return nil, noTarget(last)
+		}
+		f.attempts++
+		answer, err := d.attempt(ctx, f, target)
+		if err == nil {
+			return answer, nil
+		}
+		last = vanillabarrow.AsRefusal(err)
+		f.retries += last.Retries
+		if last.Reason == vanillabarrow.ReasonStaleToken && !refreshed {
+			// The refusal brought the token, so the same target is asked
+			// again at no cost to the retry budget.
+			refreshed = true
+			continue
+		}
+		if last.Verdict != vanillabarrow.VerdictNotRun {
+			f.mayHaveRun = true
+		}
+		f.tried[target.Name] = true
+		if !d.mayRetry(ctx, f, last) {
+			return nil, last
+		}
+		refreshed = false
+	}
+}
+
+func noTarget(last *vanillabarrow.Refusal) error {
+	if last != nil {
+		return last
+	}
+	r := vanillabarrow.NotRun(vanillabarrow.ReasonNoTarget, "no target of the service takes work")
+	r.RetryAfter = time.Second
+	return r
+}
+
+// mayRetry decides on another attempt and waits before it.
+func (d *Dispatcher) mayRetry(ctx context.Context, f *flight, last *vanillabarrow.Refusal) bool {
+	if last.Verdict != vanillabarrow.VerdictNotRun && !f.request.Idempotent {
+		return false
+	}
+	if last.Reason == vanillabarrow.ReasonBodyIncomplete || !replayable(f.request) {
+		return false
+	}
+	limit := min(f.service.Retries, f.request.RetriesLeft)
+	if f.retries >= limit || ctx.Err() != nil {
+		return false
+	}
+	// Only refusals for load can multiply load; a target that left or moved
+	// is replaced without a charge.
+	if !free(last.Reason) && !d.Retry.Allow() {
+		return false
+	}
+	f.retries++
+	d.Scope.Counter("retries").Inc(1)
+	timer := time.NewTimer(retry.Backoff(retryBase, retryLimit, f.retries))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// free reports whether a retry after the reason adds no load to any target.
+func free(reason vanillabarrow.Reason) bool {
+	switch reason {
+	case vanillabarrow.ReasonDraining, vanillabarrow.ReasonTargetOut,
+		vanillabarrow.ReasonWrongTarget, vanillabarrow.ReasonStaleToken:
+		return true
+	default:
+		return false
+	}
+}
+
+// replayable reports whether the body can be sent again from its start.
+func replayable(r *vanillabarrow.Request) bool {
+	if r.Stream == nil {
+		return true
+	}
+	s, ok := r.Stream.(interface{ Untouched() bool })
+	return ok && s.Untouched()
+}
+
+// choose picks the next target, nil for none.
+func (d *Dispatcher) choose(f *flight) *vanillabarrow.Target {
+	snapshot := d.Configuration.Snapshot()
+	service, ok := snapshot.Services[f.request.Service]
+	if !ok {
+		return nil
+	}
+	if f.request.Key != "" && !f.request.Idempotent && service.KeyWindow > 0 {
+		return d.chooseHome(snapshot, service, f)
+	}
+	candidates := d.candidates(snapshot, service, f)
+	i := d.Balancer.Pick(candidates, time.Now())
+	if i < 0 {
+		return nil
+	}
+	return candidates[i].Target
+}
+
+// chooseHome returns the one target that remembers the request's key.
+func (d *Dispatcher) chooseHome(s *vanillabarrow.Snapshot, service *vanillabarrow.Service, f *flight) *vanillabarrow.Target {
+	order := idempotency.Order(f.request.Key, HomesOf(s, service, d.Members.Listed))
+	if len(order) == 0 {
+		return nil
+	}
+	return s.Targets[order[0]]
+}
+
+// HomesOf returns the sorted targets that share the service's idempotency
+// keys: those that are not out and whose VM is published as live.
+func HomesOf(s *vanillabarrow.Snapshot, service *vanillabarrow.Service, listed func(vm string) bool) []string {
+	homes := make([]string, 0, len(service.Targets))
+	for _, name := range service.Targets {
+		if t := s.Targets[name]; !t.Out && listed(t.VM) {
+			homes = append(homes, name)
+		}
+	}
+	return homes
+}
+
+func (d *Dispatcher) candidates(s *vanillabarrow.Snapshot, service *vanillabarrow.Service, f *flight) []vanillabarrow.Candidate {
+	now := time.Now()
+	names := subset(d.VM, service.Targets)
+	candidates := make([]vanillabarrow.Candidate, 0, len(names))
+	for _, name := range names {
+		t := s.Targets[name]
+		if t.Out || f.tried[name] || !d.Members.Live(t.VM) {
+			continue
+		}
+		c := vanillabarrow.Candidate{Target: t, Distance: route.Distance(s, d.DataCentre, t)}
+		if d.Loads.fill(&c, now) {
+			candidates = append(candidates, c)
+		}
+	}
+	return candidates
+}
+
+// subset keeps the connections of a node to a large service few. Rendezvous
+// hashing spreads the subsets of all nodes evenly over the targets.
+func subset(vm string, targets []string) []string {
+	if len(targets) <= 2*subsetSize {
+		return targets
+	}
+	return idempotency.Order(vm, targets)[:2*subsetSize]
+}
--- /dev/null
+++ b/internal/dispatch/loads.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"time"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/retry"
+)
+
+const (
+	// asideAfter is the number of failures in a row that set a target aside.
+	asideAfter = 3
+	// asideBase and asideLimit bound the time that a target is set aside.
+	asideBase  = 200 * time.Millisecond
+	asideLimit = 5 * time.Second
+	// forgetAfter is how long an unused target is remembered.
+	forgetAfter = 5 * time.Minute
+)
+
+// targetLoad is what this node knows about one target from its own attempts.
+type targetLoad struct {
+	inFlight   int
+	load       vanillabarrow.Load
+	reportedAt time.Time
+	failures   int
+	asideUntil time.Time
+	trial      bool
+	usedAt     time.Time
+}
+
+// Loads holds what this node knows about targets.
+type Loads struct {
+	mu      *kernel.Mutex
+	targets map[string]*targetLoad
+}
+
+// NewLoads returns an empty table.
+func NewLoads() *Loads {
+	return &Loads{mu: kernel.NewMutex(kernel.RankLoads), targets: map[string]*targetLoad{}}
+}
+
+func (l *Loads) get(name string) *targetLoad {
+	t, ok := l.targets[name]
+	if !ok {
+		t = &targetLoad{}
+		l.targets[name] = t
+	}
+	return t
+}
+
+// Report notes the load that a gate sent with an answer.
+func (l *Loads) Report(target string, load vanillabarrow.Load, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.get(target)
+	t.load, t.reportedAt = load, now
+}
+
+// fill completes the candidate. It returns false for a target that is set
+// aside or drains.
+func (l *Loads) fill(c *vanillabarrow.Candidate, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, ok := l.targets[c.Target.Name]
+	if !ok {
+		return true
+	}
+	c.InFlight, c.Load, c.ReportedAt = t.inFlight, t.load, t.reportedAt
+	if t.failures >= asideAfter {
+		c.Trial = !t.trial && !now.Before(t.asideUntil)
+		return c.Trial
+	}
+	// A report of draining is believed for a moment only, so that a target
+	// that came back is tried again.
+	return !t.load.Draining || now.Sub(t.reportedAt) > asideBase
+}
+
+// begin counts an attempt.
+func (l *Loads) begin(target string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.get(target)
+	t.inFlight++
+	t.usedAt = now
+	t.trial = t.failures >= asideAfter
+}
+
+// end counts the end of an attempt. Healthy is false when the target or its
+// node failed; an honest refusal is no failure.
+func (l *Loads) end(target string, healthy bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.get(target)
+	t.inFlight--
+	t.trial = false
+	if healthy {
+		t.failures = 0
+		return
+	}
+	t.failures++
+	if t.failures >= asideAfter {
+		wait := asideBase/2 + retry.Backoff(asideBase, asideLimit, t.failures-asideAfter)
+		t.asideUntil = now.Add(wait)
+	}
+}
+
+// Sweep forgets targets that were not used for long. It returns the number
+// left.
+func (l *Loads) Sweep(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, t := range l.targets {
+		if t.inFlight == 0 && now.Sub(t.usedAt) > forgetAfter {
+			delete(l.targets, name)
+		}
+	}
+	return len(l.targets)
+}
+
+// LoadState is one row of the state dump.
+type LoadState struct {
+	InFlight int                `json:"inFlight"`
+	Load     vanillabarrow.Load `json:"load"`
+	Failures int                `json:"failures"`
+	Aside    bool               `json:"aside"`
+}
+
+// State returns all rows by target.
+func (l *Loads) State(now time.Time) map[string]LoadState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rows := make(map[string]LoadState, len(l.targets))
+	for name, t := range l.targets {
+		rows[name] = LoadState{
+			InFlight: t.inFlight,
+			Load:     t.load,
+			Failures: t.failures,
+			Aside:    t.failures >= asideAfter && now.Before(t.asideUntil),
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/dispatch/tokens.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+)
+
+// Tokens holds the newest token seen of each gate.
+type Tokens struct {
+	mu     *kernel.Mutex
+	tokens map[string]vanillabarrow.Token
+}
+
+// NewTokens returns an empty table.
+func NewTokens() *Tokens {
+	return &Tokens{mu: kernel.NewMutex(kernel.RankTokens), tokens: map[string]vanillabarrow.Token{}}
+}
+
+// Get returns the token for the gate of a target.
+func (t *Tokens) Get(target string) vanillabarrow.Token {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tokens[target]
+}
+
+// Put notes the token that the gate of a target sent.
+func (t *Tokens) Put(target string, token vanillabarrow.Token) {
+	if token.Incarnation == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.tokens[target]
+	if old.Incarnation == token.Incarnation && old.Epoch > token.Epoch {
+		return
+	}
+	t.tokens[target] = token
+}
+
+// Keep forgets the gates of targets for which keep returns false.
+func (t *Tokens) Keep(keep func(target string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for target := range t.tokens {
+		if !keep(target) {
+			delete(t.tokens, target)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,273 @@
+// Package gate guards one target: it decides what runs there, when, and what
+// is known about it afterwards. It does no I/O of its own.
+package gate
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/fence"
+	"github.com/vanillabarrow/vanillabarrow/internal/idempotency"
+	"github.com/vanillabarrow/vanillabarrow/internal/limit"
+)
+
+// startSlots bounds the limit until the first snapshot tells the real bound.
+const startSlots = 1
+
+// Gate implements vanillabarrow.Gate for the target with the given name.
+type Gate struct {
+	target   string
+	cfg      vanillabarrow.Configuration
+	executor vanillabarrow.Executor
+	limiter  *limit.Adaptive
+	fence    *fence.Table
+	keys     *idempotency.Table
+	homes    *idempotency.Homes
+	scope    tally.Scope
+
+	draining atomic.Bool
+	awake    atomic.Pointer[chan struct{}]
+	running  atomic.Int64
+}
+
+// Config holds what a gate is made of.
+type Config struct {
+	Target        string
+	Incarnation   string
+	Configuration vanillabarrow.Configuration
+	Executor      vanillabarrow.Executor
+	Scope         tally.Scope
+}
+
+// New returns a gate that starts now.
+func New(cfg Config) *Gate {
+	now := time.Now()
+	return &Gate{
+		target:   cfg.Target,
+		cfg:      cfg.Configuration,
+		executor: cfg.Executor,
+		limiter:  limit.New(startSlots),
+		fence:    fence.New(cfg.Incarnation, now),
+		keys:     idempotency.New(now),
+		homes:    idempotency.NewHomes(),
+		scope:    cfg.Scope.SubScope("gate"),
+	}
+}
+
+// Configure takes over what a new snapshot says about the target. Homes is
+// the sorted list of the targets that share the service's idempotency keys.
+func (g *Gate) Configure(snapshot *vanillabarrow.Snapshot, homes []string) {
+	if target, ok := snapshot.Targets[g.target]; ok {
+		g.limiter.SetSlots(target.Slots)
+	}
+	g.homes.Set(homes, time.Now())
+}
+
+// Drain makes the gate refuse new work.
+func (g *Gate) Drain() { g.draining.Store(true) }
+
+// Draining reports whether the gate refuses new work for good.
+func (g *Gate) Draining() bool { return g.draining.Load() }
+
+// Running returns the number of attempts that wait or run.
+func (g *Gate) Running() int { return int(g.running.Load()) }
+
+// Token implements vanillabarrow.Gate.
+func (g *Gate) Token() vanillabarrow.Token { return g.fence.Token(time.Now()) }
+
+// Load implements vanillabarrow.Gate.
+func (g *Gate) Load() vanillabarrow.Load {
+	load := g.limiter.Load()
+	load.Draining = g.draining.Load() || g.isOut()
+	return load
+}
+
+func (g *Gate) isOut() bool {
+	snapshot := g.cfg.Snapshot()
+	if snapshot == nil {
+		return false
+	}
+	target, ok := snapshot.Targets[g.target]
+	return !ok || target.Out
+}
+
+// Ask implements vanillabarrow.Gate.
+func (g *Gate) Ask(attempt *vanillabarrow.Attempt) *vanillabarrow.AttemptReport {
+	report := g.fence.Ask(attempt.ID, attempt.Token, time.Now())
+	g.scope.Tagged(map[string]string{"state": report.State.String()}).Counter("asked").Inc(1)
+	return report
+}
+
+// Handle implements vanillabarrow.Gate. Work that may run only once goes on
+// when the connection to the asking node breaks, so that its answer can still
+// be fetched.
+func (g *Gate) Handle(ctx context.Context, attempt *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	if err := g.check(ctx, attempt); err != nil {
+		return nil, g.count(err)
+	}
+	once := !attempt.Request.Idempotent
+	if err := g.fence.Begin(attempt.ID, attempt.Token, once, time.Now()); err != nil {
+		return nil, g.count(err)
+	}
+	if once {
+		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), attempt.Deadline)
+		defer cancel()
+		ctx = detached
+	}
+	answer, err := g.runKeyed(ctx, attempt)
+	var refusal *vanillabarrow.Refusal
+	if err != nil {
+		refusal = vanillabarrow.AsRefusal(err)
+	}
+	g.fence.Finish(attempt.ID, answer, refusal)
+	if refusal != nil {
+		return nil, g.count(refusal)
+	}
+	g.scope.Counter("finished").Inc(1)
+	return answer, nil
+}
+
+func (g *Gate) count(err error) error {
+	refusal := vanillabarrow.AsRefusal(err)
+	g.scope.Tagged(map[string]string{
+		"verdict": refusal.Verdict.String(),
+		"reason":  string(refusal.Reason),
+	}).Counter("refused").Inc(1)
+	return refusal
+}
+
+// check refuses what must not even wait here.
+func (g *Gate) check(ctx context.Context, attempt *vanillabarrow.Attempt) error {
+	if err := g.waitAwake(ctx); err != nil {
+		return err
+	}
+	if ctx.Err() != nil {
+		return vanillabarrow.NotRun(vanillabarrow.ReasonCanceled, "the sender gave up")
+	}
+	if attempt.Target == nil || attempt.Target.Name != g.target {
+		return vanillabarrow.NotRun(vanillabarrow.ReasonWrongTarget, "this gate guards "+g.target)
+	}
+	if g.draining.Load() {
+		return vanillabarrow.NotRun(vanillabarrow.ReasonDraining, "")
+	}
+	if g.cfg.Snapshot() == nil {
+		return vanillabarrow.NotRun(vanillabarrow.ReasonNoConfig, "")
+	}
+	if g.isOut() {
+		return vanillabarrow.NotRun(vanillabarrow.ReasonTargetOut, "")
+	}
+	if !time.Now().Before(attempt.Deadline) {
+		return vanillabarrow.NotRun(vanillabarrow.ReasonDeadline, "deadline passed on arrival")
+	}
+	return nil
+}
+
+// runKeyed runs the attempt, or answers it from the memory of its key.
+func (g *Gate) runKeyed(ctx context.Context, attempt *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	request := attempt.Request
+	if request.Key == "" || request.Idempotent {
+		return g.run(ctx, attempt)
+	}
+	service, ok := g.cfg.Snapshot().Services[request.Service]
+	if !ok || service.KeyWindow == 0 {
+		return g.run(ctx, attempt)
+	}
+	since, home := g.homes.Since(request.Key, g.target)
+	if !home {
+		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonWrongTarget, "this gate is not home to the key")
+	}
+	use := idempotency.Use{
+		Key:         request.Key,
+		Fingerprint: fingerprint(request),
+		Window:      service.KeyWindow,
+		Since:       since,
+	}
+	answer, err := g.keys.Begin(ctx, use, time.Now())
+	if answer != nil || err != nil {
+		return answer, err
+	}
+	answer, err = g.run(ctx, attempt)
+	var refusal *vanillabarrow.Refusal
+	if err != nil {
+		refusal = vanillabarrow.AsRefusal(err)
+	}
+	g.keys.End(request.Key, answer, refusal)
+	return answer, err
+}
+
+func fingerprint(r *vanillabarrow.Request) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range []string{r.Method, r.Host, r.Path} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(r.Body)
+	return d.Sum64()
+}
+
+// run waits for a slot and sends the request to the target.
+func (g *Gate) run(ctx context.Context, attempt *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	if err := g.limiter.Acquire(ctx, attempt.Deadline); err != nil {
+		return nil, err
+	}
+	// The wait may have outlasted the reasons to run at all.
+	if err := g.check(ctx, attempt); err != nil {
+		g.limiter.Release(vanillabarrow.SignalNeutral, 0)
+		return nil, err
+	}
+	start := time.Now()
+	answer, err := g.executor.Execute(ctx, attempt)
+	latency := time.Since(start)
+	if err == nil {
+		err = g.shed(attempt, answer)
+	}
+	if err != nil {
+		g.limiter.Release(signalOf(err), latency)
+		return nil, err
+	}
+	g.release(answer, latency)
+	return answer, nil
+}
+
+// shed turns an answer by which the target states that it did not run the
+// request into a refusal.
+func (g *Gate) shed(attempt *vanillabarrow.Attempt, answer *vanillabarrow.Answer) error {
+	service, ok := g.cfg.Snapshot().Services[attempt.Request.Service]
+	if !ok || !slices.Contains(service.NotRunStatuses, answer.Status) {
+		return nil
+	}
+	if answer.Stream != nil {
+		_ = answer.Stream.Close()
+	}
+	return vanillabarrow.NotRun(vanillabarrow.ReasonOverloaded, "the target shed the request")
+}
+
+// release gives the slot back once the whole answer has been read.
+func (g *Gate) release(answer *vanillabarrow.Answer, latency time.Duration) {
+	if answer.Stream == nil {
+		g.limiter.Release(vanillabarrow.SignalOK, latency)
+		return
+	}
+	answer.Stream = &releaser{ReadCloser: answer.Stream, gate: g, latency: latency}
+	g.running.Add(1)
+}
+
+func signalOf(err error) vanillabarrow.TargetSignal {
+	switch vanillabarrow.AsRefusal(err).Reason {
+	case vanillabarrow.ReasonTargetDown, vanillabarrow.ReasonOverloaded, vanillabarrow.ReasonTargetFailed:
+		return vanillabarrow.SignalRefused
+	case vanillabarrow.ReasonDeadline:
+		return vanillabarrow.SignalTimeout
+	default:
+		return vanillabarrow.SignalNeutral
+	}
+}
--- /dev/null
+++ b/internal/kernel/lock.go
@@ -0,0 +1,48 @@
+package kernel
+
+import "sync"
+
+// Rank is the place of a lock in the lock order. A goroutine that holds a lock
+// takes only locks of a higher rank.
+type Rank int
+
+// The lock order of all shared tables, first to last.
+const (
+	RankRollout Rank = iota + 1
+	RankMembers
+	RankRelay
+	RankGate
+	RankFence
+	RankKeys
+	RankLimiter
+	RankLoads
+	RankTokens
+	RankRetry
+	RankSource
+	RankPool
+)
+
+// Mutex is a mutex with a rank. Builds with the race detector or the debug tag
+// panic when a goroutine takes mutexes out of order.
+type Mutex struct {
+	mu   sync.Mutex
+	rank Rank
+}
+
+// NewMutex returns an unlocked mutex of the given rank.
+func NewMutex(rank Rank) *Mutex {
+	return &Mutex{rank: rank}
+}
+
+// Lock locks the mutex.
+func (m *Mutex) Lock() {
+	checkLock(m.rank)
+	m.mu.Lock()
+	noteLock(m.rank)
+}
+
+// Unlock unlocks the mutex.
+func (m *Mutex) Unlock() {
+	noteUnlock(m.rank)
+	m.mu.Unlock()
+}
--- /dev/null
+++ b/internal/kernel/lock_off.go
@@ -0,0 +1,9 @@
+//go:build !race && !debug
+
+package kernel
+
+func checkLock(Rank) {}
+
+func noteLock(Rank) {}
+
+func noteUnlock(Rank) {}
--- /dev/null
+++ b/internal/kernel/plugin.go
@@ -0,0 +1,55 @@
+// Package kernel holds the parts that every plug-in builds on: the plug-in
+// registry, the worker pool with its timers, and the locks of shared tables.
+package kernel
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+
+	"go.uber.org/fx"
+)
+
+// Plugin is one unit of the system. Its options provide constructors and
+// lifecycle hooks.
+type Plugin struct {
+	Name    string
+	Options fx.Option
+}
+
+var registry = struct {
+	mu      sync.Mutex
+	plugins map[string]Plugin
+}{plugins: map[string]Plugin{}}
+
+// Register adds a plug-in. It is called from init functions and panics when
+// the name is taken, because that is an error in the build.
+func Register(p Plugin) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	if _, ok := registry.plugins[p.Name]; ok {
+		panic(fmt.Sprintf("kernel: plug-in %q registered twice", p.Name))
+	}
+	registry.plugins[p.Name] = p
+}
+
+// Plugins returns the registered plug-ins ordered by name.
+func Plugins() []Plugin {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	plugins := make([]Plugin, 0, len(registry.plugins))
+	for _, p := range registry.plugins {
+		plugins = append(plugins, p)
+	}
+	sort.Slice(plugins, func(i, j int) bool { return plugins[i].Name < plugins[j].Name })
+	return plugins
+}
+
+// Options returns the options of all registered plug-ins.
+func Options() fx.Option {
+	var options []fx.Option
+	for _, p := range Plugins() {
+		options = append(options, fx.Module(p.Name, p.Options))
+	}
+	return fx.Options(options...)
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,213 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+)
+
+// suspicionTime is how long a VM that did not answer counts as down. A short
+// time lets a VM that is back get work soon.
+const suspicionTime = 2 * time.Second
+
+// Peer is another node.
+type Peer struct {
+	VM         string `json:"vm"`
+	DataCentre string `json:"dataCentre"`
+	Address    string `json:"address"`
+}
+
+// View is a node's place among the VMs of its data centre.
+type View struct {
+	// Rank is the node's own rank, -1 while it is in no list.
+	Rank int `json:"rank"`
+	// Size is the number of VMs in the data centre, Fleet that of all.
+	Size  int `json:"size"`
+	Fleet int `json:"fleet"`
+	// Reader is set for a node that watches the platform.
+	Reader bool `json:"reader"`
+	// FleetReaders is the number of readers in all data centres.
+	FleetReaders int    `json:"fleetReaders"`
+	Parents      []Peer `json:"parents"`
+	// Above holds the peers of the data centre with lower ranks.
+	Above []Peer `json:"-"`
+	// Remote holds the readers of other data centres.
+	Remote []Peer `json:"-"`
+}
+
+// Table holds the members as published and as seen by this node.
+type Table struct {
+	mu         *kernel.Mutex
+	vm         string
+	dataCentre string
+	peers      map[string]Peer
+	states     map[string]vanillabarrow.VMState
+	listed     bool
+	suspects   map[string]time.Time
+	view       View
+}
+
+// New returns a table for the node on the given VM.
+func New(vm, dataCentre string) *Table {
+	return &Table{
+		mu:         kernel.NewMutex(kernel.RankMembers),
+		vm:         vm,
+		dataCentre: dataCentre,
+		peers:      map[string]Peer{},
+		states:     map[string]vanillabarrow.VMState{},
+		suspects:   map[string]time.Time{},
+		view:       View{Rank: -1},
+	}
+}
+
+// Update computes the members from the published values. Either may be nil.
+// The VM list decides which VMs exist; without one, every VM of the snapshot
+// does.
+func (t *Table) Update(list *vanillabarrow.VMList, snapshot *vanillabarrow.Snapshot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.peers)
+	clear(t.states)
+	t.listed = list != nil
+	if list != nil {
+		for _, vm := range list.VMs {
+			t.peers[vm.Name] = Peer{VM: vm.Name, DataCentre: vm.DataCentre, Address: vm.PeerAddress}
+			t.states[vm.Name] = vm.State
+		}
+	} else if snapshot != nil {
+		for _, vm := range snapshot.VMs {
+			t.peers[vm.Name] = Peer{VM: vm.Name, DataCentre: vm.DataCentre, Address: vm.PeerAddress}
+			t.states[vm.Name] = vanillabarrow.VMLive
+		}
+	}
+	for vm := range t.suspects {
+		if _, ok := t.peers[vm]; !ok {
+			delete(t.suspects, vm)
+		}
+	}
+	t.view = t.compute()
+}
+
+func (t *Table) compute() View {
+	byDataCentre := map[string][]string{}
+	for name, peer := range t.peers {
+		if t.states[name] == vanillabarrow.VMLive {
+			byDataCentre[peer.DataCentre] = append(byDataCentre[peer.DataCentre], name)
+		}
+	}
+	own := Rank(t.dataCentre, byDataCentre[t.dataCentre])
+	v := View{Rank: slices.Index(own, t.vm), Size: len(own), Fleet: len(t.peers)}
+	for dc, names := range byDataCentre {
+		v.FleetReaders += min(Readers, len(names))
+		if dc != t.dataCentre {
+			v.Remote = append(v.Remote, t.firstRanks(dc, names)...)
+		}
+	}
+	slices.SortFunc(v.Remote, func(a, b Peer) int { return cmpString(a.VM, b.VM) })
+	if v.Rank < 0 {
+		v.Above = t.peersOf(own)
+		return v
+	}
+	v.Reader = IsReader(v.Rank)
+	v.Above = t.peersOf(own[:v.Rank])
+	for _, rank := range Parents(v.Rank) {
+		v.Parents = append(v.Parents, t.peers[own[rank]])
+	}
+	return v
+}
+
+func (t *Table) firstRanks(dc string, names []string) []Peer {
+	ranked := Rank(dc, names)
+	return t.peersOf(ranked[:min(Readers, len(ranked))])
+}
+
+func (t *Table) peersOf(names []string) []Peer {
+	peers := make([]Peer, len(names))
+	for i, name := range names {
+		peers[i] = t.peers[name]
+	}
+	return peers
+}
+
+func cmpString(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+// View returns the node's place.
+func (t *Table) View() View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view
+}
+
+// Live implements vanillabarrow.Members.
+func (t *Table) Live(vm string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.listed && t.states[vm] != vanillabarrow.VMLive {
+		return false
+	}
+	until, suspected := t.suspects[vm]
+	return !suspected || time.Now().After(until)
+}
+
+// Listed reports whether the published list has the VM as live. It leaves out
+// what only this node has seen, so that all nodes agree on it.
+func (t *Table) Listed(vm string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.listed || t.states[vm] == vanillabarrow.VMLive
+}
+
+// Leaving reports whether the published list has the VM as leaving.
+func (t *Table) Leaving(vm string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.states[vm] == vanillabarrow.VMLeaving
+}
+
+// Suspect notes that the VM refused a connection or announced its end.
+func (t *Table) Suspect(vm string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.peers[vm]; ok {
+		t.suspects[vm] = time.Now().Add(suspicionTime)
+	}
+}
+
+// Clear notes that the VM answered.
+func (t *Table) Clear(vm string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.suspects, vm)
+}
+
+// Suspects returns the VMs that count as down, for the state dump.
+func (t *Table) Suspects() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := make([]string, 0, len(t.suspects))
+	for vm, until := range t.suspects {
+		if time.Now().Before(until) {
+			names = append(names, vm)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Sample returns up to n of the peers in random order.
+func Sample(peers []Peer, n int) []Peer {
+	shuffled := slices.Clone(peers)
+	rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	return shuffled[:min(n, len(shuffled))]
+}
--- /dev/null
+++ b/internal/message/header.go
@@ -0,0 +1,45 @@
+// Package message converts between net/http and the types of the root package.
+package message
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// OwnPrefix starts the names of all header fields that nodes add.
+const OwnPrefix = "Vb-"
+
+// hopByHop lists the fields of RFC 9110, section 7.6.1, that concern one
+// connection only. Expect is handled by each hop as well.
+var hopByHop = []string{
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// EndToEnd returns a copy of the header without fields that concern one
+// connection and without the nodes' own fields.
+func EndToEnd(in http.Header) http.Header {
+	out := make(http.Header, len(in))
+	for name, values := range in {
+		if !strings.HasPrefix(name, OwnPrefix) {
+			out[name] = values
+		}
+	}
+	for _, field := range in["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// Copy adds all fields to the destination.
+func Copy(to, from map[string][]string) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+}
--- /dev/null
+++ b/internal/rollout/patch.go
@@ -0,0 +1,262 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/klauspost/compress/zstd"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/inventory"
+)
+
+// historyVersions is the number of versions whose parts are kept as bases for
+// patches, and historyBytes bounds their size.
+const (
+	historyVersions = 4
+	historyBytes    = 4 << 20
+)
+
+// dictionaryID marks content that is compressed against a base.
+const dictionaryID = 1
+
+// history keeps the bytes of recent versions by digest.
+type history struct {
+	bundles []*vanillabarrow.Bundle
+	digests [][]string
+	blobs   map[string][]byte
+}
+
+func newHistory() *history { return &history{blobs: map[string][]byte{}} }
+
+func (h *history) add(b *vanillabarrow.Bundle) {
+	digests := []string{inventory.Digest(b.Root)}
+	h.blobs[digests[0]] = b.Root
+	for _, p := range b.Parts {
+		h.blobs[p.Digest] = p.Bytes
+		digests = append(digests, p.Digest)
+	}
+	h.bundles = append(h.bundles, b)
+	h.digests = append(h.digests, digests)
+	for len(h.bundles) > 1 && (len(h.bundles) > historyVersions || h.size() > historyBytes) {
+		h.dropOldest()
+	}
+}
+
+func (h *history) size() int {
+	n := 0
+	for _, blob := range h.blobs {
+		n += len(blob)
+	}
+	return n
+}
+
+func (h *history) dropOldest() {
+	old := h.digests[0]
+	h.bundles, h.digests = h.bundles[1:], h.digests[1:]
+	for _, digest := range old {
+		if !slices.ContainsFunc(h.digests, func(d []string) bool { return slices.Contains(d, digest) }) {
+			delete(h.blobs, digest)
+		}
+	}
+}
+
+// HeldOf returns what the table holds of a topic.
+func (t *Table) HeldOf(topic vanillabarrow.Topic) vanillabarrow.Held {
+	b := t.Held(topic)
+	held := vanillabarrow.Held{Topic: topic, Parts: map[string]string{}}
+	if b == nil {
+		return held
+	}
+	held.Version = b.Version
+	held.RootDigest = RootDigest(b)
+	for _, p := range b.Parts {
+		held.Parts[p.Name] = p.Digest
+	}
+	return held
+}
+
+// UpdateFor returns what a node lacks that holds the given version, nil when
+// it lacks nothing. Parts that the node holds are named only; parts that it
+// holds in a version known here are sent against that version.
+func (t *Table) UpdateFor(held vanillabarrow.Held) (*vanillabarrow.Update, error) {
+	t.mu.Lock()
+	b := t.held[held.Topic]
+	var blobs map[string][]byte
+	if h := t.history[held.Topic]; h != nil {
+		blobs = make(map[string][]byte, len(held.Parts)+1)
+		for _, digest := range held.Parts {
+			if blob, ok := h.blobs[digest]; ok {
+				blobs[digest] = blob
+			}
+		}
+		if blob, ok := h.blobs[held.RootDigest]; ok {
+			blobs[held.RootDigest] = blob
+		}
+	}
+	t.mu.Unlock()
+	if b == nil || b.Version <= held.Version {
+		return nil, nil
+	}
+	return t.makeUpdate(b, held, blobs)
+}
+
+func (t *Table) makeUpdate(b *vanillabarrow.Bundle, held vanillabarrow.Held, blobs map[string][]byte) (*vanillabarrow.Update, error) {
+	u := &vanillabarrow.Update{Topic: b.Topic, Version: b.Version}
+	var err error
+	root := vanillabarrow.Part{Digest: RootDigest(b), Bytes: b.Root}
+	if u.Root, err = t.makePatch(root, held.RootDigest, blobs); err != nil {
+		return nil, err
+	}
+	for _, part := range b.Parts {
+		patch, err := t.makePatch(part, held.Parts[part.Name], blobs)
+		if err != nil {
+			return nil, err
+		}
+		u.Parts = append(u.Parts, patch)
+	}
+	return u, nil
+}
+
+func (t *Table) makePatch(part vanillabarrow.Part, heldDigest string, blobs map[string][]byte) (vanillabarrow.Patch, error) {
+	p := vanillabarrow.Patch{Name: part.Name, Digest: part.Digest}
+	if heldDigest == part.Digest {
+		p.Held = true
+		return p, nil
+	}
+	base, ok := blobs[heldDigest]
+	if ok && len(base) > 0 {
+		p.Base = heldDigest
+	}
+	var err error
+	p.Content, err = t.patches.compress(part.Digest, p.Base, part.Bytes, base)
+	return p, err
+}
+
+// Assemble rebuilds the bundle of an update that was made for what the table
+// holds. The error means that the sender assumed bytes that are not held, or
+// that content was damaged; nothing is changed.
+func (t *Table) Assemble(u *vanillabarrow.Update) (*vanillabarrow.Bundle, error) {
+	held := t.Held(u.Topic)
+	blobs := map[string][]byte{}
+	if held != nil {
+		blobs[RootDigest(held)] = held.Root
+		for _, p := range held.Parts {
+			blobs[p.Digest] = p.Bytes
+		}
+	}
+	b := &vanillabarrow.Bundle{Topic: u.Topic, Version: u.Version}
+	var err error
+	if b.Root, err = applyPatch(u.Root, blobs); err != nil {
+		return nil, err
+	}
+	for _, p := range u.Parts {
+		content, err := applyPatch(p, blobs)
+		if err != nil {
+			return nil, err
+		}
+		b.Parts = append(b.Parts, vanillabarrow.Part{Name: p.Name, Digest: p.Digest, Bytes: content})
+	}
+	return b, nil
+}
+
+func applyPatch(p vanillabarrow.Patch, blobs map[string][]byte) ([]byte, error) {
+	if p.Held {
+		blob, ok := blobs[p.Digest]
+		if !ok {
+			return nil, fmt.Errorf("part %q: bytes assumed held are absent", p.Name)
+		}
+		return blob, nil
+	}
+	var base []byte
+	if p.Base != "" {
+		var ok bool
+		if base, ok = blobs[p.Base]; !ok {
+			return nil, fmt.Errorf("part %q: base of the patch is absent", p.Name)
+		}
+	}
+	content, err := decompress(p.Content, base)
+	if err != nil {
+		return nil, fmt.Errorf("part %q: %w", p.Name, err)
+	}
+	if inventory.Digest(content) != p.Digest {
+		return nil, fmt.Errorf("part %q: content does not match its digest", p.Name)
+	}
+	return content, nil
+}
+
+// patchCacheEntries bounds the compressed patches kept for other children.
+const patchCacheEntries = 16
+
+// patchCache keeps recent patches, because a parent sends the same ones to
+// each of its children.
+type patchCache struct {
+	mu      sync.Mutex
+	order   []patchKey
+	entries map[patchKey][]byte
+}
+
+type patchKey struct {
+	digest string
+	base   string
+}
+
+func newPatchCache() *patchCache {
+	return &patchCache{entries: map[patchKey][]byte{}}
+}
+
+func (c *patchCache) compress(digest, baseDigest string, content, base []byte) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := patchKey{digest, baseDigest}
+	if out, ok := c.entries[key]; ok {
+		return out, nil
+	}
+	out, err := compress(content, base)
+	if err != nil {
+		return nil, err
+	}
+	c.entries[key] = out
+	c.order = append(c.order, key)
+	if len(c.order) > patchCacheEntries {
+		delete(c.entries, c.order[0])
+		c.order = c.order[1:]
+	}
+	return out, nil
+}
+
+func compress(content, base []byte) ([]byte, error) {
+	options := []zstd.EOption{
+		zstd.WithEncoderConcurrency(1),
+		zstd.WithEncoderLevel(zstd.SpeedDefault),
+		zstd.WithWindowSize(2 * inventory.MaxValueBytes),
+		zstd.WithLowerEncoderMem(true),
+	}
+	if len(base) > 0 {
+		options = append(options, zstd.WithEncoderDictRaw(dictionaryID, base))
+	}
+	w, err := zstd.NewWriter(nil, options...)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = w.Close() }()
+	return w.EncodeAll(content, nil), nil
+}
+
+func decompress(content, base []byte) ([]byte, error) {
+	options := []zstd.DOption{
+		zstd.WithDecoderConcurrency(1),
+		zstd.WithDecoderLowmem(true),
+		zstd.WithDecoderMaxMemory(inventory.MaxValueBytes + 1),
+	}
+	if len(base) > 0 {
+		options = append(options, zstd.WithDecoderDictRaw(dictionaryID, base))
+	}
+	r, err := zstd.NewReader(nil, options...)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	return r.DecodeAll(content, nil)
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,133 @@
+package vanillabarrow
+
+import (
+	"io"
+	"time"
+)
+
+// Header holds the fields of a message, by canonical name.
+type Header map[string][]string
+
+// Token names a point in the life of one gate. A gate refuses work that
+// carries a token it no longer remembers, which bounds what it has to keep.
+type Token struct {
+	// Incarnation is unique for each start of a gate.
+	Incarnation string
+	// Epoch counts periods since the start.
+	Epoch uint64
+}
+
+// Request is a caller's request, independent of how it was encoded.
+type Request struct {
+	// ID is unique for each request of a caller.
+	ID      string
+	Service string
+	Method  string
+	Host    string
+	// Path is the request target with its query.
+	Path   string
+	Header Header
+	// Body is the whole body, or the start of a longer one.
+	Body []byte
+	// Stream is the rest of a body too large to hold, or nil.
+	Stream io.Reader
+	// Size is the length of the body in bytes, -1 when unknown.
+	Size       int64
+	Idempotent bool
+	// Key is the caller's idempotency key, or empty.
+	Key string
+	// Depth is the number of mesh hops above this request.
+	Depth int
+	// RetriesLeft bounds the attempts beyond the first, here and below.
+	RetriesLeft int
+}
+
+// Attempt is one try of a request at one target.
+type Attempt struct {
+	ID       string
+	Request  *Request
+	Target   *Target
+	Address  string
+	Version  Version
+	Token    Token
+	Deadline time.Time
+	// RetriesLeft is what the callee may spend further down the chain.
+	RetriesLeft int
+}
+
+// Answer is a target's whole answer to one attempt.
+type Answer struct {
+	Status int
+	Header Header
+	Body   []byte
+	// Stream is the rest of an answer too large to hold, or nil. Its reader
+	// fails when the answer breaks off.
+	Stream io.ReadCloser
+	Size   int64
+	Target string
+	// Attempts is the number of attempts that the request took.
+	Attempts int
+}
+
+// Load is what a gate reports about its target with each answer.
+type Load struct {
+	InFlight int  `json:"inFlight"`
+	Queued   int  `json:"queued"`
+	Limit    int  `json:"limit"`
+	Draining bool `json:"draining"`
+}
+
+// AttemptState is a gate's knowledge of one attempt.
+type AttemptState int
+
+// States of an attempt at a gate.
+const (
+	// AttemptUnknown means that the gate can't know: another incarnation, or
+	// a token older than its memory.
+	AttemptUnknown AttemptState = iota
+	// AttemptRunning means that the attempt waits or runs.
+	AttemptRunning
+	// AttemptFinished means that the target answered.
+	AttemptFinished
+	// AttemptFenced proves that the attempt did not run and never will.
+	AttemptFenced
+	// AttemptFailed means that the attempt ended without an answer after the
+	// target may have run it.
+	AttemptFailed
+)
+
+var attemptStateNames = map[AttemptState]string{
+	AttemptUnknown:  "unknown",
+	AttemptRunning:  "running",
+	AttemptFinished: "finished",
+	AttemptFenced:   "fenced",
+	AttemptFailed:   "failed",
+}
+
+// String returns the name of the state.
+func (s AttemptState) String() string {
+	return attemptStateNames[s]
+}
+
+// AttemptReport is a gate's answer to a question about an attempt.
+type AttemptReport struct {
+	State AttemptState
+	// Answer is set for AttemptFinished while the gate still stores it.
+	Answer *Answer
+}
+
+// TargetSignal is what an attempt at a target tells about the target.
+type TargetSignal int
+
+// Signals from attempts at a target.
+const (
+	// SignalOK is a timely answer.
+	SignalOK TargetSignal = iota
+	// SignalRefused is a connection refused or reset, or an answer by which
+	// the target sheds load.
+	SignalRefused
+	// SignalTimeout is no answer within the deadline.
+	SignalTimeout
+	// SignalNeutral is an end that tells nothing, such as a canceled request.
+	SignalNeutral
+)
