--- /dev/null
+++ b/balancers.go
@@ -0,0 +1,18 @@
+package vanillabarrow
+
+// Names of the balancers, as written in settings.
+const (
+	// BalancerTwoChoices takes the less occupied of two random targets.
+	BalancerTwoChoices = "twoChoices"
+	// BalancerLeastInFlight takes the target with the fewest own attempts.
+	BalancerLeastInFlight = "leastInFlight"
+	// BalancerRoundRobin takes each target in turn.
+	BalancerRoundRobin = "roundRobin"
+	// BalancerRandom takes any target.
+	BalancerRandom = "random"
+)
+
+// BalancerNames returns the names of all balancers.
+func BalancerNames() []string {
+	return []string{BalancerTwoChoices, BalancerLeastInFlight, BalancerRoundRobin, BalancerRandom}
+}
--- a/config.go
+++ b/config.go
@@ -14,6 +14,16 @@
 	TopicVMs    Topic = "vms"
 )
 
+// Value is one published value as the platform gives it.
+type Value struct {
+	Key      string
+	Revision Version
+	Bytes    []byte
+}
+
+// PartKeyPrefix starts the keys of parts. The digest follows.
+const PartKeyPrefix = "config/parts/"
+
 // Part is one named piece of a published value.
 type Part struct {
 	Name   string
--- a/interfaces.go
+++ b/interfaces.go
@@ -8,11 +8,11 @@
 // Source reads published values from the platform. Errors mean that nothing
 // was learned; they never mean that a value is absent.
 type Source interface {
-	// Read returns the newest bundle of a topic.
-	Read(ctx context.Context, topic Topic) (*Bundle, error)
-	// Watch returns a bundle newer than after. It returns nil without an
-	// error when the wait ended with no change.
-	Watch(ctx context.Context, topic Topic, after Version) (*Bundle, error)
+	// Read returns the newest value of a key.
+	Read(ctx context.Context, key string) (*Value, error)
+	// Watch returns a value with a revision above after. It returns nil
+	// without an error when the wait ended with no change.
+	Watch(ctx context.Context, key string, after Version) (*Value, error)
 }
 
 // Configuration gives the snapshot in force.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -9,14 +9,6 @@
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 )
 
-// Names of the balancers, as written in settings.
-const (
-	TwoChoices    = "twoChoices"
-	LeastInFlight = "leastInFlight"
-	RoundRobin    = "roundRobin"
-	Random        = "random"
-)
-
 // unknownLimit is assumed for a target that has not reported its limit. It is
 // low, because such a target may have just started.
 const unknownLimit = 2
@@ -27,23 +19,18 @@
 // New returns the balancer with the given name, nil for an unknown name.
 func New(name string) vanillabarrow.Balancer {
 	switch name {
-	case TwoChoices:
+	case vanillabarrow.BalancerTwoChoices:
 		return twoChoices{}
-	case LeastInFlight:
+	case vanillabarrow.BalancerLeastInFlight:
 		return leastInFlight{}
-	case RoundRobin:
+	case vanillabarrow.BalancerRoundRobin:
 		return &roundRobin{}
-	case Random:
+	case vanillabarrow.BalancerRandom:
 		return random{}
 	}
 	return nil
 }
 
-// Names returns the names of all balancers.
-func Names() []string {
-	return []string{TwoChoices, LeastInFlight, RoundRobin, Random}
-}
-
 // occupancy estimates how full a target is, 1 at its limit.
 func occupancy(c *vanillabarrow.Candidate, now time.Time) float64 {
 	limit := c.Load.Limit
--- /dev/null
+++ b/internal/dispatch/plugin.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/membership"
+)
+
+// sweepInterval is the period at which unused rows are forgotten.
+const sweepInterval = time.Minute
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "dispatch",
+		Options: fx.Options(
+			fx.Provide(NewLoads, NewTokens, fromParts),
+			fx.Invoke(startSweep),
+			kernel.ProvideState(func(l *Loads) kernel.StateSource {
+				return kernel.StateSource{Name: "loads", State: func() any { return l.State(time.Now()) }}
+			}),
+		),
+	})
+}
+
+// parts are the constructor arguments that the kernel fills in.
+type parts struct {
+	fx.In
+	Identity      *kernel.Identity
+	Configuration vanillabarrow.Configuration
+	Members       *membership.Table
+	Balancer      vanillabarrow.Balancer
+	Retry         vanillabarrow.RetryPolicy
+	Forwarder     vanillabarrow.Forwarder
+	Loads         *Loads
+	Tokens        *Tokens
+	Scope         tally.Scope
+}
+
+func fromParts(p parts) vanillabarrow.Dispatcher {
+	return New(Config{
+		VM:            p.Identity.VM,
+		DataCentre:    p.Identity.DataCentre,
+		Configuration: p.Configuration,
+		Members:       p.Members,
+		Balancer:      p.Balancer,
+		Retry:         p.Retry,
+		Forwarder:     p.Forwarder,
+		Loads:         p.Loads,
+		Tokens:        p.Tokens,
+		Scope:         p.Scope,
+		NewID:         p.Identity.NewID,
+	})
+}
+
+// startSweep keeps the tables from growing with targets that are gone.
+func startSweep(lc fx.Lifecycle, pool *kernel.Pool, loads *Loads, tokens *Tokens, cfg vanillabarrow.Configuration) {
+	sweep := func(context.Context) {
+		loads.Sweep(time.Now())
+		if snapshot := cfg.Snapshot(); snapshot != nil {
+			tokens.Keep(func(target string) bool { return snapshot.Targets[target] != nil })
+		}
+	}
+	lc.Append(fx.StartHook(func() {
+		pool.Every(func() time.Duration { return sweepInterval }, false, "dispatch.sweep", sweep)
+	}))
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -32,6 +32,7 @@
 	scope    tally.Scope
 
 	draining atomic.Bool
+	leaving  atomic.Bool
 	awake    atomic.Pointer[chan struct{}]
 	running  atomic.Int64
 }
@@ -62,7 +63,9 @@
 
 // Configure takes over what a new snapshot says about the target. Homes is
 // the sorted list of the targets that share the service's idempotency keys.
-func (g *Gate) Configure(snapshot *vanillabarrow.Snapshot, homes []string) {
+// Leaving is set while the VM is published as leaving.
+func (g *Gate) Configure(snapshot *vanillabarrow.Snapshot, homes []string, leaving bool) {
+	g.leaving.Store(leaving)
 	if target, ok := snapshot.Targets[g.target]; ok {
 		g.limiter.SetSlots(target.Slots)
 	}
@@ -72,8 +75,8 @@
 // Drain makes the gate refuse new work.
 func (g *Gate) Drain() { g.draining.Store(true) }
 
-// Draining reports whether the gate refuses new work for good.
-func (g *Gate) Draining() bool { return g.draining.Load() }
+// Draining reports whether the gate refuses new work because it leaves.
+func (g *Gate) Draining() bool { return g.draining.Load() || g.leaving.Load() }
 
 // Running returns the number of attempts that wait or run.
 func (g *Gate) Running() int { return int(g.running.Load()) }
@@ -84,7 +87,7 @@
 // Load implements vanillabarrow.Gate.
 func (g *Gate) Load() vanillabarrow.Load {
 	load := g.limiter.Load()
-	load.Draining = g.draining.Load() || g.isOut()
+	load.Draining = g.Draining() || g.isOut()
 	return load
 }
 
@@ -155,7 +158,7 @@
 	if attempt.Target == nil || attempt.Target.Name != g.target {
 		return vanillabarrow.NotRun(vanillabarrow.ReasonWrongTarget, "this gate guards "+g.target)
 	}
-	if g.draining.Load() {
+	if g.Draining() {
 		return vanillabarrow.NotRun(vanillabarrow.ReasonDraining, "")
 	}
 	if g.cfg.Snapshot() == nil {
--- /dev/null
+++ b/internal/gate/plugin.go
@@ -0,0 +1,80 @@
+package gate
+
+import (
+	"context"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/dispatch"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/membership"
+	"github.com/vanillabarrow/vanillabarrow/internal/rollout"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "gate",
+		Options: fx.Options(
+			fx.Provide(fromParts, func(g *Gate) vanillabarrow.Gate { return g }),
+			fx.Invoke(startConfigure),
+			kernel.ProvideState(func(g *Gate) kernel.StateSource {
+				return kernel.StateSource{Name: "gate", State: func() any { return g.State() }}
+			}),
+			kernel.ProvideDrainer(func(g *Gate) kernel.Drainer {
+				return kernel.Drainer{Name: "gate", Drain: g.Drain}
+			}),
+		),
+	})
+}
+
+func fromParts(id *kernel.Identity, cfg vanillabarrow.Configuration, executor vanillabarrow.Executor, scope tally.Scope) *Gate {
+	return New(Config{
+		Target:        id.Target,
+		Incarnation:   id.Incarnation,
+		Configuration: cfg,
+		Executor:      executor,
+		Scope:         scope,
+	})
+}
+
+// configurer tells the gate about each change.
+type configurer struct {
+	gate    *Gate
+	table   *rollout.Table
+	members *membership.Table
+}
+
+func startConfigure(lc fx.Lifecycle, pool *kernel.Pool, g *Gate, table *rollout.Table, members *membership.Table) {
+	c := &configurer{gate: g, table: table, members: members}
+	lc.Append(fx.StartHook(func() error { return pool.SubmitWaiting("gate.configure", c.loop) }))
+}
+
+func (c *configurer) loop(ctx context.Context) {
+	for {
+		changed := c.table.Changed()
+		c.configure()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *configurer) configure() {
+	snapshot := c.table.Snapshot()
+	if snapshot == nil {
+		return
+	}
+	// The membership follows the same change in a job of its own.
+	c.members.Update(c.table.VMList(), snapshot)
+	var homes []string
+	leaving := false
+	if target, ok := snapshot.Targets[c.gate.target]; ok {
+		homes = dispatch.HomesOf(snapshot, snapshot.Services[target.Service], c.members.Listed)
+		leaving = c.members.Leaving(target.VM)
+	}
+	c.gate.Configure(snapshot, homes, leaving)
+}
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -53,3 +53,35 @@
 	}
 	return fx.Options(options...)
 }
+
+// Groups of values that plug-ins contribute to.
+const (
+	// GroupStates collects StateSource values.
+	GroupStates = `group:"states"`
+	// GroupDrainers collects Drainer values.
+	GroupDrainers = `group:"drainers"`
+)
+
+// StateSource gives one table to the state dump.
+type StateSource struct {
+	Name  string
+	State func() any
+}
+
+// Drainer is told when the node begins to leave.
+type Drainer struct {
+	Name  string
+	Drain func()
+}
+
+// ProvideState returns the option that contributes a constructor of a
+// StateSource.
+func ProvideState(constructor any) fx.Option {
+	return fx.Provide(fx.Annotate(constructor, fx.ResultTags(GroupStates)))
+}
+
+// ProvideDrainer returns the option that contributes a constructor of a
+// Drainer.
+func ProvideDrainer(constructor any) fx.Option {
+	return fx.Provide(fx.Annotate(constructor, fx.ResultTags(GroupDrainers)))
+}
--- a/internal/kernel/pool.go
+++ b/internal/kernel/pool.go
@@ -29,7 +29,7 @@
 
 // DefaultPoolConfig returns the sizes for one node.
 func DefaultPoolConfig() PoolConfig {
-	return PoolConfig{Workers: 2, Waiters: 10, Queue: 256}
+	return PoolConfig{Workers: 2, Waiters: 12, Queue: 256}
 }
 
 // Job is a named unit of work. Its context ends when the pool closes.
--- /dev/null
+++ b/internal/membership/plugin.go
@@ -0,0 +1,27 @@
+package membership
+
+import (
+	"go.uber.org/fx"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+)
+
+// state is what the membership shows in the state dump.
+type state struct {
+	View     View     `json:"view"`
+	Suspects []string `json:"suspects"`
+}
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "membership",
+		Options: fx.Options(
+			fx.Provide(func(id *kernel.Identity) *Table { return New(id.VM, id.DataCentre) }),
+			kernel.ProvideState(func(t *Table) kernel.StateSource {
+				return kernel.StateSource{Name: "membership", State: func() any {
+					return state{View: t.View(), Suspects: t.Suspects()}
+				}}
+			}),
+		),
+	})
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -160,6 +160,13 @@
 	return !suspected || time.Now().After(until)
 }
 
+// Address returns the peer address of a VM, empty for an unknown one.
+func (t *Table) Address(vm string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peers[vm].Address
+}
+
 // Listed reports whether the published list has the VM as live. It leaves out
 // what only this node has seen, so that all nodes agree on it.
 func (t *Table) Listed(vm string) bool {
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,47 @@
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/inventory"
+	"github.com/vanillabarrow/vanillabarrow/internal/load"
+	"github.com/vanillabarrow/vanillabarrow/internal/standin"
+)
+
+// startBound is far above any start, so that it fails a hang only.
+const startBound = time.Minute
+
+func TestMeshServes(t *testing.T) {
+	tests := map[string]standin.Deployment{
+		"cenovka": standin.Cenovka(),
+		"visites": standin.Visites(),
+	}
+	for name, d := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), startBound)
+			defer cancel()
+			m, err := Start(ctx, d, slog.New(slog.DiscardHandler))
+			defer func() { require.NoError(t, m.Stop(ctx)) }()
+			require.NoError(t, err)
+			version := m.Publish(inventory.Out{DataCentres: d.DataCentres[:1]})
+			times, err := m.WaitVersion(ctx, version)
+			require.NoError(t, err)
+			t.Log("converged", times)
+
+			result := load.New(load.Config{
+				Entries: m.Entries(), Paths: []string{d.Services[0].PathPrefix}, Rate: 300,
+				Duration: 2 * time.Second, Writes: 0.5, Keyed: 0.5, BodyBytes: 100, Timeout: 10 * time.Second,
+			}).Run(ctx)
+			t.Log(result, result.Reasons)
+			require.Positive(t, result.Finished)
+			require.Zero(t, result.Wrong)
+			require.Zero(t, result.Failed)
+			require.Equal(t, load.Account{}, result.Check(m.Runs()))
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,140 @@
+// Package node composes one node from the registered plug-ins.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/fx"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/operator"
+	"github.com/vanillabarrow/vanillabarrow/internal/settings"
+)
+
+const (
+	// lameDuck is the time between the announcement of a stop and the closing
+	// of the listeners, in which callers and nodes move on.
+	lameDuck = time.Second
+	// reportInterval is the period at which metrics are collected.
+	reportInterval = 2 * time.Second
+)
+
+// Node is one running node.
+type Node struct {
+	app      *fx.App
+	settings settings.Settings
+	drainers []kernel.Drainer
+	server   *operator.Server
+}
+
+// Listen opens the listeners that the settings name.
+func Listen(s settings.Settings) (kernel.Listeners, error) {
+	var listeners kernel.Listeners
+	for _, l := range []struct {
+		field   string
+		address string
+		into    *net.Listener
+	}{
+		{"listen.caller", s.Listen.Caller, &listeners.Caller},
+		{"listen.peer", s.Listen.Peer, &listeners.Peer},
+		{"listen.operator", s.Listen.Operator, &listeners.Operator},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			Close(listeners)
+			return kernel.Listeners{}, eris.Wrap(err, l.field)
+		}
+		*l.into = listener
+	}
+	return listeners, nil
+}
+
+// Close closes listeners that no node has taken over.
+func Close(listeners kernel.Listeners) {
+	for _, l := range []net.Listener{listeners.Caller, listeners.Peer, listeners.Operator} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// New returns a node that serves on the listeners once started.
+func New(s settings.Settings, listeners kernel.Listeners, logger *slog.Logger) (*Node, error) {
+	n := &Node{settings: s}
+	n.app = fx.New(
+		fx.NopLogger,
+		fx.Supply(s, listeners, logger),
+		fx.Provide(
+			func() *kernel.Identity {
+				return kernel.NewIdentity(s.Node.VM, s.Node.DataCentre, s.Node.Target)
+			},
+			newPool, newMetrics,
+		),
+		kernel.Options(),
+		fx.Invoke(func(p collected) { n.drainers, n.server = p.Drainers, p.Server }),
+	)
+	return n, n.app.Err()
+}
+
+// collected are the values that the node itself needs.
+type collected struct {
+	fx.In
+	Drainers []kernel.Drainer `group:"drainers"`
+	Server   *operator.Server
+}
+
+func newPool(lc fx.Lifecycle, logger *slog.Logger) *kernel.Pool {
+	pool := kernel.NewPool(kernel.DefaultPoolConfig(), logger)
+	lc.Append(fx.StopHook(pool.Close))
+	return pool
+}
+
+func newMetrics(lc fx.Lifecycle) (tally.Scope, http.Handler) {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "vanillabarrow",
+		CachedReporter:         reporter,
+		Separator:              tallyprometheus.DefaultSeparator,
+		SanitizeOptions:        &tallyprometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	lc.Append(fx.StopHook(func() { _ = closer.Close() }))
+	return scope, reporter.HTTPHandler()
+}
+
+// Start starts the plug-ins. The node serves from then on, and refuses until
+// it holds a configuration.
+func (n *Node) Start(ctx context.Context) error { return n.app.Start(ctx) }
+
+// Stop announces the end, waits for callers and nodes to move on, finishes
+// what is in flight and ends the node. Work still open when the drain timeout
+// passes is cut.
+func (n *Node) Stop(ctx context.Context) error {
+	for _, d := range n.drainers {
+		d.Drain()
+	}
+	timer := time.NewTimer(lameDuck)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.DrainTimeout)
+	defer cancel()
+	return n.app.Stop(ctx)
+}
+
+// Status returns the node's status.
+func (n *Node) Status() operator.Status { return n.server.Status() }
--- /dev/null
+++ b/internal/node/plugins.go
@@ -0,0 +1,17 @@
+package node
+
+// The plug-ins of a node register themselves when they are imported.
+import (
+	_ "github.com/vanillabarrow/vanillabarrow/internal/balance"
+	_ "github.com/vanillabarrow/vanillabarrow/internal/caller"
+	_ "github.com/vanillabarrow/vanillabarrow/internal/dispatch"
+	_ "github.com/vanillabarrow/vanillabarrow/internal/gate"
+	_ "github.com/vanillabarrow/vanillabarrow/internal/membership"
+	_ "github.com/vanillabarrow/vanillabarrow/internal/operator"
+	_ "github.com/vanillabarrow/vanillabarrow/internal/peer"
+	_ "github.com/vanillabarrow/vanillabarrow/internal/platform"
+	_ "github.com/vanillabarrow/vanillabarrow/internal/relay"
+	_ "github.com/vanillabarrow/vanillabarrow/internal/retry"
+	_ "github.com/vanillabarrow/vanillabarrow/internal/rollout"
+	_ "github.com/vanillabarrow/vanillabarrow/internal/target"
+)
--- /dev/null
+++ b/internal/operator/plugin.go
@@ -0,0 +1,53 @@
+package operator
+
+import (
+	"log/slog"
+	"net/http"
+
+	"go.uber.org/fx"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/gate"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/membership"
+	"github.com/vanillabarrow/vanillabarrow/internal/relay"
+	"github.com/vanillabarrow/vanillabarrow/internal/rollout"
+	"github.com/vanillabarrow/vanillabarrow/internal/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:    "operator",
+		Options: fx.Options(fx.Provide(provide), fx.Invoke(serve)),
+	})
+}
+
+// parts are the constructor arguments that the kernel fills in.
+type parts struct {
+	fx.In
+	Identity *kernel.Identity
+	Table    *rollout.Table
+	Members  *membership.Table
+	Follower *relay.Follower
+	Gate     *gate.Gate
+	Metrics  http.Handler
+	States   []kernel.StateSource `group:"states"`
+	Logger   *slog.Logger
+}
+
+func provide(p parts) *Server {
+	return New(Config{
+		Identity: p.Identity,
+		Table:    p.Table,
+		Members:  p.Members,
+		Follower: p.Follower,
+		Gate:     p.Gate,
+		Metrics:  p.Metrics,
+		States:   p.States,
+		Logger:   p.Logger,
+	})
+}
+
+func serve(lc fx.Lifecycle, s *Server, listeners kernel.Listeners, cfg settings.Settings, logger *slog.Logger) {
+	server := kernel.NewHTTPServer("operator", listeners.Operator, s.Handler(), cfg.Requests.MaxHeaderBytes, logger)
+	lc.Append(server.Hook())
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,124 @@
+// Package operator serves the node's state to operators.
+package operator
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/gate"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/membership"
+	"github.com/vanillabarrow/vanillabarrow/internal/relay"
+	"github.com/vanillabarrow/vanillabarrow/internal/rollout"
+)
+
+// Status is what a node says about itself in brief.
+type Status struct {
+	VM         string `json:"vm"`
+	DataCentre string `json:"dataCentre"`
+	Target     string `json:"target"`
+	Ready      bool   `json:"ready"`
+	Draining   bool   `json:"draining"`
+	// Out is set when the rules in force take the target out.
+	Out     bool                  `json:"out"`
+	Version vanillabarrow.Version `json:"version"`
+	Rollout rollout.Status        `json:"rollout"`
+	View    membership.View       `json:"view"`
+	Parents []string              `json:"parents"`
+	Load    vanillabarrow.Load    `json:"load"`
+	// AgeSeconds is the time since a source last confirmed the version.
+	AgeSeconds    float64 `json:"ageSeconds"`
+	UptimeSeconds float64 `json:"uptimeSeconds"`
+}
+
+// Config holds what a server is made of.
+type Config struct {
+	Identity *kernel.Identity
+	Table    *rollout.Table
+	Members  *membership.Table
+	Follower *relay.Follower
+	Gate     *gate.Gate
+	Metrics  http.Handler
+	States   []kernel.StateSource
+	Logger   *slog.Logger
+}
+
+// Server answers operators' requests.
+type Server struct {
+	Config
+	start time.Time
+}
+
+// New returns a server.
+func New(cfg Config) *Server { return &Server{Config: cfg, start: time.Now()} }
+
+// Handler returns the handler of the operator listener.
+func (s *Server) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/status", s.status).Methods(http.MethodGet)
+	router.HandleFunc("/dump", s.dump).Methods(http.MethodGet)
+	router.HandleFunc("/ready", s.ready).Methods(http.MethodGet)
+	router.Handle("/metrics", s.Metrics).Methods(http.MethodGet)
+	router.HandleFunc("/debug/pprof/profile", pprof.Profile).Methods(http.MethodGet)
+	router.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index).Methods(http.MethodGet)
+	return router
+}
+
+// Status returns the node's status.
+func (s *Server) Status() Status {
+	now := time.Now()
+	status := Status{
+		VM:            s.Identity.VM,
+		DataCentre:    s.Identity.DataCentre,
+		Target:        s.Identity.Target,
+		Ready:         s.Follower.IsReady(),
+		Draining:      s.Gate.Draining(),
+		Rollout:       s.Table.Status(),
+		View:          s.Members.View(),
+		Parents:       s.Follower.Parents(),
+		Load:          s.Gate.Load(),
+		UptimeSeconds: now.Sub(s.start).Seconds(),
+	}
+	if snapshot := s.Table.Snapshot(); snapshot != nil {
+		status.Version = snapshot.Version
+		target, ok := snapshot.Targets[s.Identity.Target]
+		status.Out = !ok || target.Out
+	}
+	if !status.Rollout.ConfirmedAt.IsZero() {
+		status.AgeSeconds = now.Sub(status.Rollout.ConfirmedAt).Seconds()
+	}
+	return status
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) { s.json(w, s.Status()) }
+
+func (s *Server) dump(w http.ResponseWriter, _ *http.Request) {
+	states := map[string]any{"status": s.Status()}
+	for _, source := range s.States {
+		states[source.Name] = source.State()
+	}
+	s.json(w, states)
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if !s.Follower.IsReady() || s.Gate.Draining() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) json(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(v); err != nil {
+		s.Logger.Warn("answer to operator failed", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1"
+)
+
+func heldToProto(h vanillabarrow.Held) *controlv1.Held {
+	out := &controlv1.Held{
+		Topic:      string(h.Topic),
+		Version:    uint64(h.Version),
+		RootDigest: digestBytes(h.RootDigest),
+	}
+	for name, digest := range h.Parts {
+		out.Parts = append(out.Parts, &controlv1.PartName{Name: name, Digest: digestBytes(digest)})
+	}
+	return out
+}
+
+func heldFromProto(h *controlv1.Held) vanillabarrow.Held {
+	out := vanillabarrow.Held{
+		Topic:      vanillabarrow.Topic(h.GetTopic()),
+		Version:    vanillabarrow.Version(h.GetVersion()),
+		RootDigest: digestString(h.GetRootDigest()),
+		Parts:      make(map[string]string, len(h.GetParts())),
+	}
+	for _, p := range h.GetParts() {
+		out.Parts[p.GetName()] = digestString(p.GetDigest())
+	}
+	return out
+}
+
+func patchToProto(p vanillabarrow.Patch) *controlv1.Patch {
+	out := &controlv1.Patch{Name: p.Name, Digest: digestBytes(p.Digest), Content: p.Content, Held: p.Held}
+	if p.Base != "" {
+		out.Base = digestBytes(p.Base)
+	}
+	return out
+}
+
+func patchFromProto(p *controlv1.Patch) vanillabarrow.Patch {
+	return vanillabarrow.Patch{
+		Name:    p.GetName(),
+		Digest:  digestString(p.GetDigest()),
+		Base:    digestString(p.GetBase()),
+		Content: p.GetContent(),
+		Held:    p.GetHeld(),
+	}
+}
+
+func updateToProto(u *vanillabarrow.Update) *controlv1.Update {
+	if u == nil {
+		return &controlv1.Update{}
+	}
+	out := &controlv1.Update{
+		Topic:   string(u.Topic),
+		Version: uint64(u.Version),
+		Root:    patchToProto(u.Root),
+	}
+	for _, p := range u.Parts {
+		out.Parts = append(out.Parts, patchToProto(p))
+	}
+	return out
+}
+
+// updateFromProto returns nil for a message without content.
+func updateFromProto(m *controlv1.Update) *vanillabarrow.Update {
+	if m.GetVersion() == 0 || m.GetAnnounced() {
+		return nil
+	}
+	out := &vanillabarrow.Update{
+		Topic:   vanillabarrow.Topic(m.GetTopic()),
+		Version: vanillabarrow.Version(m.GetVersion()),
+		Root:    patchFromProto(m.GetRoot()),
+	}
+	for _, p := range m.GetParts() {
+		out.Parts = append(out.Parts, patchFromProto(p))
+	}
+	return out
+}
+
+var statesToProto = map[vanillabarrow.AttemptState]controlv1.AttemptState{
+	vanillabarrow.AttemptUnknown:  controlv1.AttemptState_ATTEMPT_STATE_UNSPECIFIED,
+	vanillabarrow.AttemptRunning:  controlv1.AttemptState_ATTEMPT_STATE_RUNNING,
+	vanillabarrow.AttemptFinished: controlv1.AttemptState_ATTEMPT_STATE_FINISHED,
+	vanillabarrow.AttemptFenced:   controlv1.AttemptState_ATTEMPT_STATE_FENCED,
+	vanillabarrow.AttemptFailed:   controlv1.AttemptState_ATTEMPT_STATE_FAILED,
+}
+
+func stateFromProto(s controlv1.AttemptState) vanillabarrow.AttemptState {
+	for state, p := range statesToProto {
+		if p == s {
+			return state
+		}
+	}
+	return vanillabarrow.AttemptUnknown
+}
+
+func answerToProto(a *vanillabarrow.Answer) *controlv1.Answer {
+	if a == nil {
+		return nil
+	}
+	out := &controlv1.Answer{Status: int32(a.Status), Body: a.Body}
+	for name, values := range a.Header {
+		out.Header = append(out.Header, &controlv1.HeaderField{Name: name, Values: values})
+	}
+	return out
+}
+
+func answerFromProto(m *controlv1.Answer) *vanillabarrow.Answer {
+	if m == nil {
+		return nil
+	}
+	out := &vanillabarrow.Answer{
+		Status: int(m.GetStatus()),
+		Header: vanillabarrow.Header{},
+		Body:   m.GetBody(),
+		Size:   int64(len(m.GetBody())),
+	}
+	for _, f := range m.GetHeader() {
+		out.Header[f.GetName()] = f.GetValues()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/forwarder.go
@@ -0,0 +1,206 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/message"
+	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1"
+	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1/controlv1connect"
+)
+
+const (
+	// HoldBytes is the largest part of a body that a node holds, to send it
+	// again or to answer a question about it.
+	HoldBytes = 64 << 10
+	// dialTimeout bounds a connection set-up.
+	dialTimeout = time.Second
+	// idleConnections bounds the pooled connections to one node.
+	idleConnections = 32
+	// idleTimeout closes pooled connections before a network forgets them.
+	idleTimeout = 30 * time.Second
+	// continueTimeout bounds the wait for a gate to accept a streamed body.
+	continueTimeout = time.Minute
+	// maxAnswerHeader bounds the header of an answer, in bytes.
+	maxAnswerHeader = 256 << 10
+)
+
+// Observer takes what answers tell about the nodes that sent them.
+type Observer interface {
+	// Report notes the load of a target.
+	Report(target string, load vanillabarrow.Load, now time.Time)
+	// Put notes the token of a target's gate.
+	Put(target string, token vanillabarrow.Token)
+	// SeenVersion notes the configuration version of a node.
+	SeenVersion(vm string, version vanillabarrow.Version)
+}
+
+// Forwarder implements vanillabarrow.Forwarder.
+type Forwarder struct {
+	vm       string
+	observer Observer
+	client   *http.Client
+	fresh    *http.Client
+}
+
+// NewForwarder returns a forwarder for the node on the given VM.
+func NewForwarder(vm string, observer Observer) *Forwarder {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Forwarder{
+		vm:       vm,
+		observer: observer,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:            dialer.DialContext,
+			DisableCompression:     true,
+			MaxIdleConnsPerHost:    idleConnections,
+			IdleConnTimeout:        idleTimeout,
+			ExpectContinueTimeout:  continueTimeout,
+			MaxResponseHeaderBytes: maxAnswerHeader,
+		}, CheckRedirect: noRedirect},
+		// A question about a lost attempt must not share the fate of the
+		// connection that lost it.
+		fresh: &http.Client{Transport: &http.Transport{
+			DialContext:       dialer.DialContext,
+			DisableKeepAlives: true,
+		}},
+	}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections.
+func (f *Forwarder) Close() { f.client.CloseIdleConnections() }
+
+// Forward implements vanillabarrow.Forwarder.
+func (f *Forwarder) Forward(ctx context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := f.request(httptrace.WithClientTrace(ctx, trace), a)
+	if err != nil {
+		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonConnectionFailed, err.Error())
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return nil, transportRefusal(ctx, err, connected.Load())
+	}
+	return f.answer(ctx, a, response)
+}
+
+func (f *Forwarder) request(ctx context.Context, a *vanillabarrow.Attempt) (*http.Request, error) {
+	r := a.Request
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+a.Address, nil)
+	if err != nil {
+		return nil, err
+	}
+	if request.URL, err = request.URL.Parse(r.Path); err != nil {
+		return nil, err
+	}
+	// A path that starts with two slashes would otherwise be taken for a host.
+	request.URL.Scheme, request.URL.Host = "http", a.Address
+	request.Host = r.Host
+	message.Copy(request.Header, r.Header)
+	writeAttempt(request.Header, a, f.vm, time.Now())
+	if len(r.Body) > 0 || r.Stream != nil {
+		request.Body = io.NopCloser(message.Join(r.Body, r.Stream))
+		request.ContentLength = r.Size
+	}
+	if r.Stream != nil {
+		request.Header.Set("Expect", "100-continue")
+	}
+	return request, nil
+}
+
+// transportRefusal gives the verdict on an attempt without an answer. Without
+// a connection nothing was sent.
+func transportRefusal(ctx context.Context, err error, connected bool) error {
+	if errors.Is(err, message.ErrTooLarge) {
+		return vanillabarrow.MayHaveRun(vanillabarrow.ReasonBodyIncomplete, err.Error())
+	}
+	if !connected {
+		return vanillabarrow.NotRun(vanillabarrow.ReasonConnectionFailed, err.Error())
+	}
+	if ctx.Err() != nil {
+		return vanillabarrow.MayHaveRun(vanillabarrow.ReasonCanceled, err.Error())
+	}
+	return vanillabarrow.MayHaveRun(vanillabarrow.ReasonConnectionFailed, err.Error())
+}
+
+func (f *Forwarder) answer(ctx context.Context, a *vanillabarrow.Attempt, response *http.Response) (*vanillabarrow.Answer, error) {
+	h := response.Header
+	if h.Get(headerAttempt) != a.ID {
+		_ = response.Body.Close()
+		return nil, vanillabarrow.MayHaveRun(vanillabarrow.ReasonAnswerLost, "the answer belongs to another attempt")
+	}
+	f.observe(a, h)
+	if h.Get(headerVerdict) != vanillabarrow.VerdictFinished.String() {
+		_ = response.Body.Close()
+		return nil, readRefusal(h)
+	}
+	start, stream, err := message.Split(response.Body, HoldBytes)
+	if err != nil {
+		_ = response.Body.Close()
+		return nil, transportRefusal(ctx, err, true)
+	}
+	answer := &vanillabarrow.Answer{
+		Status: response.StatusCode,
+		Header: vanillabarrow.Header(message.EndToEnd(h)),
+		Body:   start,
+		Size:   response.ContentLength,
+		Target: a.Target.Name,
+	}
+	if stream == nil {
+		_ = response.Body.Close()
+		return answer, nil
+	}
+	answer.Stream = response.Body
+	return answer, nil
+}
+
+func (f *Forwarder) observe(a *vanillabarrow.Attempt, h http.Header) {
+	if load, ok := parseLoad(h.Get(headerLoad)); ok {
+		f.observer.Report(a.Target.Name, load, time.Now())
+	}
+	f.observer.Put(a.Target.Name, parseToken(h.Get(headerToken)))
+	f.observer.SeenVersion(a.Target.VM, parseVersion(h.Get(headerVersion)))
+}
+
+// Ask implements vanillabarrow.Forwarder.
+func (f *Forwarder) Ask(ctx context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.AttemptReport, error) {
+	client := controlv1connect.NewFenceClient(f.fresh, "http://"+a.Address)
+	response, err := client.Ask(ctx, connect.NewRequest(&controlv1.AskRequest{
+		Target:      a.Target.Name,
+		Attempt:     a.ID,
+		Incarnation: a.Token.Incarnation,
+		Epoch:       a.Token.Epoch,
+	}))
+	if err != nil {
+		return nil, fmt.Errorf("ask %s about attempt %s: %w", a.Address, a.ID, err)
+	}
+	report := &vanillabarrow.AttemptReport{
+		State:  stateFromProto(response.Msg.GetState()),
+		Answer: answerFromProto(response.Msg.GetAnswer()),
+	}
+	if report.Answer != nil {
+		report.Answer.Target = a.Target.Name
+	}
+	return report, nil
+}
+
+// joined returns the whole body of an answer for writing.
+func joined(a *vanillabarrow.Answer) io.Reader {
+	if a.Stream == nil {
+		return bytes.NewReader(a.Body)
+	}
+	return io.MultiReader(bytes.NewReader(a.Body), a.Stream)
+}
--- /dev/null
+++ b/internal/peer/relay_client.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1"
+	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1/controlv1connect"
+)
+
+const (
+	// silenceLimit ends a stream on which nothing arrived.
+	silenceLimit = 3 * HeartbeatInterval
+	// pingAfter and pingTimeout find connections that went silent.
+	pingAfter   = 2 * time.Second
+	pingTimeout = time.Second
+)
+
+// errSilent is the error for a stream on which nothing arrived.
+var errSilent = errors.New("stream went silent")
+
+// RelayClient implements vanillabarrow.Relay.
+type RelayClient struct {
+	vm     string
+	client *http.Client
+}
+
+// NewRelayClient returns a client for the node on the given VM.
+func NewRelayClient(vm string) *RelayClient {
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	return &RelayClient{vm: vm, client: &http.Client{Transport: &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		Protocols:       protocols,
+		IdleConnTimeout: idleTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter,
+			PingTimeout:     pingTimeout,
+		},
+	}}}
+}
+
+// Close closes idle connections.
+func (c *RelayClient) Close() { c.client.CloseIdleConnections() }
+
+func (c *RelayClient) relay(address string) controlv1connect.RelayClient {
+	return controlv1connect.NewRelayClient(c.client, "http://"+address)
+}
+
+// Peek implements vanillabarrow.Relay.
+func (c *RelayClient) Peek(ctx context.Context, address string) (map[vanillabarrow.Topic]vanillabarrow.Version, error) {
+	response, err := c.relay(address).Peek(ctx, connect.NewRequest(&controlv1.PeekRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	versions := map[vanillabarrow.Topic]vanillabarrow.Version{}
+	for _, h := range response.Msg.GetHeld() {
+		versions[vanillabarrow.Topic(h.GetTopic())] = vanillabarrow.Version(h.GetVersion())
+	}
+	return versions, nil
+}
+
+// Fetch implements vanillabarrow.Relay.
+func (c *RelayClient) Fetch(ctx context.Context, address string, held vanillabarrow.Held) (*vanillabarrow.Update, error) {
+	response, err := c.relay(address).Fetch(ctx, connect.NewRequest(&controlv1.FetchRequest{
+		Node: c.vm,
+		Held: heldToProto(held),
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return updateFromProto(response.Msg), nil
+}
+
+// Watch implements vanillabarrow.Relay. It ends with an error when nothing
+// arrives for a time.
+func (c *RelayClient) Watch(ctx context.Context, address string, held []vanillabarrow.Held, announceOnly bool, receive func(vanillabarrow.Heartbeat) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
+	defer silence.Stop()
+	request := &controlv1.WatchRequest{Node: c.vm, AnnounceOnly: announceOnly}
+	for _, h := range held {
+		request.Held = append(request.Held, heldToProto(h))
+	}
+	stream, err := c.relay(address).Watch(ctx, connect.NewRequest(request))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		silence.Reset(silenceLimit)
+		if err := receive(heartbeatFromProto(stream.Msg())); err != nil {
+			return err
+		}
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return stream.Err()
+}
+
+func heartbeatFromProto(m *controlv1.Update) vanillabarrow.Heartbeat {
+	beat := vanillabarrow.Heartbeat{Update: updateFromProto(m), Draining: m.GetDraining()}
+	if m.GetAnnounced() {
+		beat.Announced = map[vanillabarrow.Topic]vanillabarrow.Version{
+			vanillabarrow.Topic(m.GetTopic()): vanillabarrow.Version(m.GetVersion()),
+		}
+	}
+	return beat
+}
--- /dev/null
+++ b/internal/peer/wire.go
@@ -0,0 +1,186 @@
+// Package peer speaks to other nodes: it forwards attempts over HTTP/1.1 and
+// exchanges control messages over connect.
+package peer
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+)
+
+// Header fields of forwarded attempts and their answers. docs/PROTOCOL.md
+// describes them.
+const (
+	headerAttempt    = "Vb-Attempt"
+	headerTarget     = "Vb-Target"
+	headerService    = "Vb-Service"
+	headerBudget     = "Vb-Budget"
+	headerDepth      = "Vb-Depth"
+	headerRetries    = "Vb-Retries"
+	headerVersion    = "Vb-Version"
+	headerToken      = "Vb-Token"
+	headerKey        = "Vb-Key"
+	headerIdempotent = "Vb-Idempotent"
+	headerFrom       = "Vb-From"
+	headerLoad       = "Vb-Load"
+	headerVerdict    = "Vb-Verdict"
+	headerReason     = "Vb-Reason"
+	headerDetail     = "Vb-Detail"
+	headerRetryAfter = "Vb-Retry-After"
+)
+
+func formatToken(t vanillabarrow.Token) string {
+	if t.Incarnation == "" {
+		return ""
+	}
+	return t.Incarnation + "." + strconv.FormatUint(t.Epoch, 10)
+}
+
+func parseToken(s string) vanillabarrow.Token {
+	incarnation, epoch, ok := strings.Cut(s, ".")
+	n, err := strconv.ParseUint(epoch, 10, 64)
+	if !ok || err != nil {
+		return vanillabarrow.Token{}
+	}
+	return vanillabarrow.Token{Incarnation: incarnation, Epoch: n}
+}
+
+func formatLoad(l vanillabarrow.Load) string {
+	draining := 0
+	if l.Draining {
+		draining = 1
+	}
+	return fmt.Sprintf("%d/%d/%d/%d", l.InFlight, l.Queued, l.Limit, draining)
+}
+
+func parseLoad(s string) (vanillabarrow.Load, bool) {
+	fields := strings.Split(s, "/")
+	if len(fields) != 4 {
+		return vanillabarrow.Load{}, false
+	}
+	var n [4]int
+	for i, field := range fields {
+		var err error
+		if n[i], err = strconv.Atoi(field); err != nil || n[i] < 0 {
+			return vanillabarrow.Load{}, false
+		}
+	}
+	return vanillabarrow.Load{InFlight: n[0], Queued: n[1], Limit: n[2], Draining: n[3] != 0}, true
+}
+
+func parseVersion(s string) vanillabarrow.Version {
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return vanillabarrow.Version(n)
+}
+
+// writeAttempt adds the fields of an attempt to a request's header.
+func writeAttempt(h http.Header, a *vanillabarrow.Attempt, from string, now time.Time) {
+	h.Set(headerAttempt, a.ID)
+	h.Set(headerTarget, a.Target.Name)
+	h.Set(headerService, a.Request.Service)
+	h.Set(headerBudget, strconv.FormatInt(a.Deadline.Sub(now).Microseconds(), 10))
+	h.Set(headerDepth, strconv.Itoa(a.Request.Depth))
+	h.Set(headerRetries, strconv.Itoa(a.RetriesLeft))
+	h.Set(headerVersion, strconv.FormatUint(uint64(a.Version), 10))
+	h.Set(headerFrom, from)
+	if a.Token.Incarnation != "" {
+		h.Set(headerToken, formatToken(a.Token))
+	}
+	if a.Request.Key != "" {
+		h.Set(headerKey, a.Request.Key)
+	}
+	if a.Request.Idempotent {
+		h.Set(headerIdempotent, "1")
+	}
+}
+
+// errNotAnAttempt is the error for a request without the fields of an attempt.
+var errNotAnAttempt = errors.New("request lacks the header fields of a forwarded attempt")
+
+// readAttempt reads the fields of an attempt. The request's body is left out.
+func readAttempt(r *http.Request, now time.Time) (*vanillabarrow.Attempt, error) {
+	h := r.Header
+	if h.Get(headerAttempt) == "" || h.Get(headerTarget) == "" {
+		return nil, errNotAnAttempt
+	}
+	var numbers [3]int
+	for i, name := range []string{headerBudget, headerDepth, headerRetries} {
+		n, err := strconv.Atoi(h.Get(name))
+		if err != nil {
+			return nil, fmt.Errorf("header field %s is not a number", name)
+		}
+		numbers[i] = n
+	}
+	return &vanillabarrow.Attempt{
+		ID:          h.Get(headerAttempt),
+		Target:      &vanillabarrow.Target{Name: h.Get(headerTarget)},
+		Version:     parseVersion(h.Get(headerVersion)),
+		Token:       parseToken(h.Get(headerToken)),
+		Deadline:    now.Add(time.Duration(numbers[0]) * time.Microsecond),
+		RetriesLeft: numbers[2],
+		Request: &vanillabarrow.Request{
+			Service:     h.Get(headerService),
+			Method:      r.Method,
+			Host:        r.Host,
+			Path:        r.URL.RequestURI(),
+			Key:         h.Get(headerKey),
+			Idempotent:  h.Get(headerIdempotent) == "1",
+			Depth:       numbers[1],
+			RetriesLeft: numbers[2],
+			Size:        r.ContentLength,
+		},
+	}, nil
+}
+
+// writeRefusal adds the fields of a refusal to an answer's header.
+func writeRefusal(h http.Header, r *vanillabarrow.Refusal) {
+	h.Set(headerVerdict, r.Verdict.String())
+	h.Set(headerReason, string(r.Reason))
+	h.Set(headerRetries, strconv.Itoa(r.Retries))
+	if r.Detail != "" {
+		h.Set(headerDetail, strings.Map(printable, r.Detail))
+	}
+	if r.RetryAfter > 0 {
+		h.Set(headerRetryAfter, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+	}
+}
+
+func printable(r rune) rune {
+	if r < ' ' || r > '~' {
+		return ' '
+	}
+	return r
+}
+
+// readRefusal reads the fields of a refusal.
+func readRefusal(h http.Header) *vanillabarrow.Refusal {
+	retries, _ := strconv.Atoi(h.Get(headerRetries))
+	retryAfter, _ := strconv.Atoi(h.Get(headerRetryAfter))
+	return &vanillabarrow.Refusal{
+		Verdict:    vanillabarrow.ParseVerdict(h.Get(headerVerdict)),
+		Reason:     vanillabarrow.Reason(h.Get(headerReason)),
+		Detail:     h.Get(headerDetail),
+		RetryAfter: time.Duration(retryAfter) * time.Millisecond,
+		Retries:    retries,
+		Token:      parseToken(h.Get(headerToken)),
+	}
+}
+
+func digestBytes(digest string) []byte {
+	b, err := hex.DecodeString(digest)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func digestString(b []byte) string { return hex.EncodeToString(b) }
--- /dev/null
+++ b/internal/platform/plugin.go
@@ -0,0 +1,19 @@
+package platform
+
+import (
+	"go.uber.org/fx"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "platform", Options: fx.Provide(provide)})
+}
+
+func provide(lc fx.Lifecycle, s settings.Settings) vanillabarrow.Source {
+	c := New(s.Platform.URL, s.Node.DataCentre)
+	lc.Append(fx.StopHook(c.Close))
+	return c
+}
--- /dev/null
+++ b/internal/relay/plugin.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"log/slog"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/membership"
+	"github.com/vanillabarrow/vanillabarrow/internal/rollout"
+	"github.com/vanillabarrow/vanillabarrow/internal/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "relay",
+		Options: fx.Options(
+			fx.Provide(fromParts, func(f *Follower) vanillabarrow.Configuration { return f }),
+			fx.Invoke(func(lc fx.Lifecycle, f *Follower) { lc.Append(fx.StartHook(f.Start)) }),
+		),
+	})
+}
+
+// parts are the constructor arguments that the kernel fills in.
+type parts struct {
+	fx.In
+	Settings  settings.Settings
+	Listeners kernel.Listeners
+	Table     *rollout.Table
+	Members   *membership.Table
+	Source    vanillabarrow.Source
+	Relay     vanillabarrow.Relay
+	Pool      *kernel.Pool
+	Logger    *slog.Logger
+	Scope     tally.Scope
+}
+
+func fromParts(p parts) *Follower {
+	return New(Config{
+		Table:      p.Table,
+		Members:    p.Members,
+		Source:     p.Source,
+		Relay:      p.Relay,
+		Pool:       p.Pool,
+		Logger:     p.Logger,
+		Scope:      p.Scope,
+		Seeds:      p.Settings.Seeds,
+		Self:       p.Listeners.Peer.Addr().String(),
+		FleetSize:  p.Settings.Platform.FleetSize,
+		ReadBudget: p.Settings.Platform.ReadBudget,
+	})
+}
--- /dev/null
+++ b/internal/standin/deployment.go
@@ -0,0 +1,151 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/inventory"
+)
+
+// ServiceShape is one service of a deployment.
+type ServiceShape struct {
+	Name        string
+	Targets     int
+	Slots       int
+	Connections int
+	PathPrefix  string
+}
+
+// Deployment describes the size of one customer's mesh.
+type Deployment struct {
+	Name        string
+	Region      string
+	DataCentres []string
+	Services    []ServiceShape
+	// ServiceTime is the mean time of a request in a slot.
+	ServiceTime time.Duration
+}
+
+// Cenovka returns the mesh of Cenovka Analytics.
+func Cenovka() Deployment {
+	return Deployment{
+		Name:        "cenovka",
+		Region:      "sk-west",
+		DataCentres: []string{"sk-west-a", "sk-west-b", "sk-west-c"},
+		ServiceTime: 5 * time.Millisecond,
+		Services: []ServiceShape{
+			{Name: "survey-desk", Targets: 8, Slots: 12, Connections: 130, PathPrefix: "/returns"},
+			{Name: "ledger-vault", Targets: 3, Slots: 12, Connections: 130, PathPrefix: "/ledgers"},
+		},
+	}
+}
+
+// Visites returns the mesh of Visites Mystère Laurentides.
+func Visites() Deployment {
+	return Deployment{
+		Name:        "visites",
+		Region:      "qc-sud",
+		DataCentres: []string{"mtl-est", "mtl-ouest", "laval", "longueuil"},
+		ServiceTime: 5 * time.Millisecond,
+		Services: []ServiceShape{
+			{Name: "visites", Targets: 8, Slots: 18, Connections: 130, PathPrefix: "/visits"},
+			{Name: "rapports", Targets: 4, Slots: 18, Connections: 130, PathPrefix: "/reports"},
+		},
+	}
+}
+
+// Place is where one target and its node are.
+type Place struct {
+	Target     string
+	Service    string
+	VM         string
+	DataCentre string
+	Slots      int
+	// Connections is the number of connections that the target accepts.
+	Connections int
+	// Addresses are filled in by whoever opens the listeners.
+	TargetAddress   string
+	CallerAddress   string
+	PeerAddress     string
+	OperatorAddress string
+}
+
+// Places returns the targets of the deployment, spread over its data centres.
+func (d Deployment) Places() []*Place {
+	var places []*Place
+	for _, service := range d.Services {
+		for i := range service.Targets {
+			name := fmt.Sprintf("%s-%d", service.Name, i+1)
+			places = append(places, &Place{
+				Target:      name,
+				Service:     service.Name,
+				VM:          "vm-" + name,
+				DataCentre:  d.DataCentres[len(places)%len(d.DataCentres)],
+				Slots:       service.Slots,
+				Connections: service.Connections,
+			})
+		}
+	}
+	return places
+}
+
+// Document returns the deployment as a configuration document.
+func (d Deployment) Document(places []*Place, out inventory.Out) *inventory.Document {
+	doc := &inventory.Document{Kind: inventory.KindConfig, Schema: inventory.SchemaVersion, Out: out}
+	doc.Regions = []vanillabarrow.Region{{Name: d.Region}}
+	for _, dc := range d.DataCentres {
+		doc.DataCentres = append(doc.DataCentres, vanillabarrow.DataCentre{Name: dc, Region: d.Region})
+	}
+	for _, s := range d.Services {
+		doc.Services = append(doc.Services, inventory.ServiceEntry{Name: s.Name})
+		doc.Routes = append(doc.Routes, vanillabarrow.Route{Name: s.Name, PathPrefix: s.PathPrefix, Service: s.Name})
+	}
+	for _, p := range places {
+		doc.VMs = append(doc.VMs, vanillabarrow.VM{
+			Name:            p.VM,
+			DataCentre:      p.DataCentre,
+			PeerAddress:     p.PeerAddress,
+			OperatorAddress: p.OperatorAddress,
+		})
+		doc.Targets = append(doc.Targets, vanillabarrow.Target{
+			Name:        p.Target,
+			Service:     p.Service,
+			VM:          p.VM,
+			Address:     p.TargetAddress,
+			Slots:       p.Slots,
+			Connections: p.Connections,
+		})
+	}
+	return doc
+}
+
+// Marshal returns the YAML of a document.
+func Marshal(doc any) []byte {
+	b, err := yaml.Marshal(doc)
+	if err != nil {
+		// Documents hold plain values only.
+		panic(err)
+	}
+	return b
+}
+
+// VMList returns the published list with all places live.
+func VMList(places []*Place, states map[string]vanillabarrow.VMState) *vanillabarrow.VMList {
+	list := &vanillabarrow.VMList{}
+	for _, p := range places {
+		state := vanillabarrow.VMLive
+		if s, ok := states[p.VM]; ok {
+			state = s
+		}
+		list.VMs = append(list.VMs, vanillabarrow.VMEntry{
+			Name:        p.VM,
+			DataCentre:  p.DataCentre,
+			PeerAddress: p.PeerAddress,
+			State:       state,
+		})
+	}
+	return list
+}
--- a/verdict.go
+++ b/verdict.go
@@ -51,6 +51,8 @@
 const (
 	ReasonNoConfig         Reason = "noConfig"
 	ReasonNoRoute          Reason = "noRoute"
+	ReasonBadRequest       Reason = "badRequest"
+	ReasonTooLarge         Reason = "tooLarge"
 	ReasonNoTarget         Reason = "noTarget"
 	ReasonOverloaded       Reason = "overloaded"
 	ReasonTargetDown       Reason = "targetDown"
