Ask earlier homes of a key, and notice changes of role at once

Cause: gates that became home to a key refused it for the whole window, because an earlier home might have run it; and nodes slept up to 1.5 s before they saw a change of membership. Change: the new home asks the earlier ones to give the key up, which then refuse it; membership changes wake the jobs that depend on them.

--- a/interfaces.go
+++ b/interfaces.go
@@ -75,6 +75,14 @@
 	Ask(ctx context.Context, attempt *Attempt) (*AttemptReport, error)
 }
 
+// KeyMemory asks gates that were home to an idempotency key before.
+type KeyMemory interface {
+	// Surrender asks the gate of the target at the address to give the key up
+	// and reports what it knows. AttemptFenced proves that the key did not
+	// run there and never will.
+	Surrender(ctx context.Context, address string, question KeyQuestion) (*AttemptReport, error)
+}
+
 // Executor runs requests at this node's own target.
 type Executor interface {
 	// Execute sends the request to the target. The error is a *Refusal.
@@ -87,6 +95,8 @@
 	Handle(ctx context.Context, attempt *Attempt) (*Answer, error)
 	// Ask reports on an attempt and fences it when it has not started.
 	Ask(attempt *Attempt) *AttemptReport
+	// Surrender gives up an idempotency key to its new home.
+	Surrender(question KeyQuestion) *AttemptReport
 	// Token returns the current token.
 	Token() Token
 	// Load returns the current load.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
@@ -25,6 +24,7 @@
 	target   string
 	cfg      vanillabarrow.Configuration
 	executor vanillabarrow.Executor
+	memory   vanillabarrow.KeyMemory
 	limiter  *limit.Adaptive
 	fence    *fence.Table
 	keys     *idempotency.Table
@@ -43,6 +43,7 @@
 	Incarnation   string
 	Configuration vanillabarrow.Configuration
 	Executor      vanillabarrow.Executor
+	Memory        vanillabarrow.KeyMemory
 	Scope         tally.Scope
 }
 
@@ -53,6 +54,7 @@
 		target:   cfg.Target,
 		cfg:      cfg.Configuration,
 		executor: cfg.Executor,
+		memory:   cfg.Memory,
 		limiter:  limit.New(startSlots),
 		fence:    fence.New(cfg.Incarnation, now),
 		keys:     idempotency.New(now),
@@ -173,50 +175,6 @@
 	return nil
 }
 
-// runKeyed runs the attempt, or answers it from the memory of its key.
-func (g *Gate) runKeyed(ctx context.Context, attempt *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
-	request := attempt.Request
-	if request.Key == "" || request.Idempotent {
-		return g.run(ctx, attempt)
-	}
-	service, ok := g.cfg.Snapshot().Services[request.Service]
-	if !ok || service.KeyWindow == 0 {
-		return g.run(ctx, attempt)
-	}
-	since, home := g.homes.Since(request.Key, g.target)
-	if !home {
-		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonWrongTarget, "this gate is not home to the key")
-	}
-	use := idempotency.Use{
-		Key:         request.Key,
-		Fingerprint: fingerprint(request),
-		Window:      service.KeyWindow,
-		Since:       since,
-	}
-	answer, err := g.keys.Begin(ctx, use, time.Now())
-	if answer != nil || err != nil {
-		return answer, err
-	}
-	answer, err = g.run(ctx, attempt)
-	var refusal *vanillabarrow.Refusal
-	if err != nil {
-		refusal = vanillabarrow.AsRefusal(err)
-	}
-	g.keys.End(request.Key, answer, refusal)
-	return answer, err
-}
-
-func fingerprint(r *vanillabarrow.Request) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, s := range []string{r.Method, r.Host, r.Path} {
-		_, _ = d.WriteString(s)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(r.Body)
-	return d.Sum64()
-}
-
 // run waits for a slot and sends the request to the target.
 func (g *Gate) run(ctx context.Context, attempt *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
 	if err := g.limiter.Acquire(ctx, attempt.Deadline); err != nil {
--- a/internal/gate/plugin.go
+++ b/internal/gate/plugin.go
@@ -29,12 +29,13 @@
 	})
 }
 
-func fromParts(id *kernel.Identity, cfg vanillabarrow.Configuration, executor vanillabarrow.Executor, scope tally.Scope) *Gate {
+func fromParts(id *kernel.Identity, cfg vanillabarrow.Configuration, executor vanillabarrow.Executor, memory vanillabarrow.KeyMemory, scope tally.Scope) *Gate {
 	return New(Config{
 		Target:        id.Target,
 		Incarnation:   id.Incarnation,
 		Configuration: cfg,
 		Executor:      executor,
+		Memory:        memory,
 		Scope:         scope,
 	})
 }
--- a/internal/idempotency/home.go
+++ b/internal/idempotency/home.go
@@ -49,27 +49,49 @@
 	}
 }
 
-// Since returns when the target became the key's home for good, and whether it
-// is the home at present. The zero time means that no other home is on record.
-func (h *Homes) Since(key, target string) (time.Time, bool) {
+// Claim tells whether the target is home to the key, and what it does not
+// know of the key by itself.
+type Claim struct {
+	Home bool
+	// Previous lists other targets that were home to the key within the
+	// window. They have to be asked.
+	Previous []string
+	// Since is when the record of homes begins, if that is within the window;
+	// the zero time when the record covers the window.
+	Since time.Time
+}
+
+// Claim returns the target's claim on the key.
+func (h *Homes) Claim(key, target string, window time.Duration, now time.Time) Claim {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := len(h.sets)
 	if n == 0 || !isHome(key, target, h.sets[n-1].targets) {
-		return time.Time{}, false
+		return Claim{}
 	}
+	c := Claim{Home: true}
 	for i := n - 2; i >= 0; i-- {
-		if !isHome(key, target, h.sets[i].targets) {
-			return h.sets[i].until, true
+		if now.Sub(h.sets[i].until) >= window {
+			return c
+		}
+		previous := homeOf(key, h.sets[i].targets)
+		if previous != "" && previous != target && !slices.Contains(c.Previous, previous) {
+			c.Previous = append(c.Previous, previous)
 		}
 	}
 	if n == maxHistory {
-		return h.sets[0].until, true
+		c.Since = h.sets[0].until
+	}
+	return c
+}
+
+func homeOf(key string, targets []string) string {
+	if len(targets) == 0 {
+		return ""
 	}
-	return time.Time{}, true
+	return Order(key, targets)[0]
 }
 
 func isHome(key, target string, targets []string) bool {
-	order := Order(key, targets)
-	return len(order) > 0 && order[0] == target
+	return homeOf(key, targets) == target
 }
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -16,7 +16,7 @@
 const (
 	// ClockSkew is the largest difference assumed between the clocks of a
 	// caller and a gate.
-	ClockSkew = 5 * time.Second
+	ClockSkew = time.Second
 	// MaxKeys bounds the keys. A gate with a full table refuses new keys.
 	MaxKeys = 20_000
 	// MaxAnswerBytes bounds the stored answers. The oldest go first.
@@ -32,6 +32,8 @@
 	answer      *vanillabarrow.Answer
 	refusal     *vanillabarrow.Refusal
 	expires     time.Time
+	// moved is set once another gate has become home to the key.
+	moved bool
 }
 
 // Table holds the keys of one gate.
@@ -65,7 +67,8 @@
 	// Fingerprint is a hash of the request that must be the same for each use.
 	Fingerprint uint64
 	Window      time.Duration
-	// Since is when this gate became the one that sees every use of the key.
+	// Since is when the record of the key's homes begins, zero when it covers
+	// the window.
 	Since time.Time
 }
 
@@ -99,16 +102,19 @@
 	defer t.mu.Unlock()
 	t.expire(now)
 	if e, ok := t.entries[use.Key]; ok {
+		if e.moved {
+			return nil, vanillabarrow.NotRun(vanillabarrow.ReasonWrongTarget, "another gate is home to the key")
+		}
 		if e.fingerprint != use.Fingerprint {
 			return nil, vanillabarrow.NotRun(vanillabarrow.ReasonDuplicate, "the key was used with another request")
 		}
 		return e, nil
 	}
-	if !t.knows(use, now) {
+	if !t.knows(use.Key, use.Window, use.Since, now) {
 		return nil, vanillabarrow.MayHaveRun(vanillabarrow.ReasonKeyUnknown,
 			"the key may have been used before this gate started")
 	}
-	if len(t.entries) >= t.max {
+	if t.full() {
 		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonTableFull, "too many keys are remembered")
 	}
 	t.entries[use.Key] = &entry{
@@ -120,20 +126,59 @@
 	return nil, nil
 }
 
-// knows reports whether a use of the key within the window would be on record.
-// A key of the form UUIDv7 tells when it was made.
-func (t *Table) knows(use Use, now time.Time) bool {
-	since := t.since
-	if use.Since.After(since) {
-		since = use.Since
+// knows reports whether a use of the key within the window, since this gate
+// started or became home, would be on record. A key of the form UUIDv7 tells
+// when it was made.
+func (t *Table) knows(key string, window time.Duration, since, now time.Time) bool {
+	if t.since.After(since) {
+		since = t.since
 	}
-	if now.Sub(since) >= use.Window {
+	if now.Sub(since) >= window {
 		return true
 	}
-	made, ok := MadeAt(use.Key)
+	made, ok := MadeAt(key)
 	return ok && made.After(since.Add(ClockSkew)) && made.Before(now.Add(ClockSkew))
 }
 
+// full reports whether no key can be added. Keys that were freed count until
+// their place in the order has passed.
+func (t *Table) full() bool { return len(t.entries) >= t.max || len(t.order) >= 2*t.max }
+
+// Surrender gives the key up to the gate that asks, which is its home now. It
+// reports what is known of the key; from then on the key is refused here. A
+// report of AttemptFenced proves that the key did not run here.
+func (t *Table) Surrender(use Use, now time.Time) *vanillabarrow.AttemptReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	e, ok := t.entries[use.Key]
+	switch {
+	case ok && e.moved:
+		return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptFenced}
+	case ok && !e.finished:
+		return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptRunning}
+	case ok && (e.refusal != nil || e.fingerprint != use.Fingerprint):
+		return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptFailed}
+	case ok:
+		return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptFinished, Answer: e.answer}
+	case !t.knows(use.Key, use.Window, use.Since, now) || t.full():
+		return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptUnknown}
+	}
+	t.entries[use.Key] = &entry{finished: true, moved: true, expires: now.Add(use.Window)}
+	t.order = append(t.order, use.Key)
+	return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptFenced}
+}
+
+// Regain takes a key back that was surrendered, once this gate is its home
+// again and the gates in between have been asked.
+func (t *Table) Regain(key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.entries[key]; ok && e.moved {
+		delete(t.entries, key)
+	}
+}
+
 // MadeAt returns the time in a key of the form UUIDv7.
 func MadeAt(key string) (time.Time, bool) {
 	id, err := uuid.Parse(key)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -48,6 +48,7 @@
 	listed     bool
 	suspects   map[string]time.Time
 	view       View
+	changed    chan struct{}
 }
 
 // New returns a table for the node on the given VM.
@@ -60,6 +61,7 @@
 		states:     map[string]vanillabarrow.VMState{},
 		suspects:   map[string]time.Time{},
 		view:       View{Rank: -1},
+		changed:    make(chan struct{}),
 	}
 }
 
@@ -89,6 +91,15 @@
 		}
 	}
 	t.view = t.compute()
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next update.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
 }
 
 func (t *Table) compute() View {
--- a/internal/peer/controlv1/controlv1connect/control.connect.go
+++ b/internal/peer/controlv1/controlv1connect/control.connect.go
@@ -44,6 +44,8 @@
 	RelayPeekProcedure = "/vanillabarrow.control.v1.Relay/Peek"
 	// FenceAskProcedure is the fully-qualified name of the Fence's Ask RPC.
 	FenceAskProcedure = "/vanillabarrow.control.v1.Fence/Ask"
+	// FenceSurrenderProcedure is the fully-qualified name of the Fence's Surrender RPC.
+	FenceSurrenderProcedure = "/vanillabarrow.control.v1.Fence/Surrender"
 )
 
 // RelayClient is a client for the vanillabarrow.control.v1.Relay service.
@@ -178,6 +180,8 @@
 type FenceClient interface {
 	// Ask reports on an attempt and fences it when it has not started.
 	Ask(context.Context, *connect.Request[controlv1.AskRequest]) (*connect.Response[controlv1.AskReply], error)
+	// Surrender gives up an idempotency key to its new home.
+	Surrender(context.Context, *connect.Request[controlv1.SurrenderRequest]) (*connect.Response[controlv1.AskReply], error)
 }
 
 // NewFenceClient constructs a client for the vanillabarrow.control.v1.Fence service. By default, it
@@ -197,12 +201,19 @@
 			connect.WithSchema(fenceMethods.ByName("Ask")),
 			connect.WithClientOptions(opts...),
 		),
+		surrender: connect.NewClient[controlv1.SurrenderRequest, controlv1.AskReply](
+			httpClient,
+			baseURL+FenceSurrenderProcedure,
+			connect.WithSchema(fenceMethods.ByName("Surrender")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // fenceClient implements FenceClient.
 type fenceClient struct {
-	ask *connect.Client[controlv1.AskRequest, controlv1.AskReply]
+	ask       *connect.Client[controlv1.AskRequest, controlv1.AskReply]
+	surrender *connect.Client[controlv1.SurrenderRequest, controlv1.AskReply]
 }
 
 // Ask calls vanillabarrow.control.v1.Fence.Ask.
@@ -210,10 +221,17 @@
 	return c.ask.CallUnary(ctx, req)
 }
 
+// Surrender calls vanillabarrow.control.v1.Fence.Surrender.
+func (c *fenceClient) Surrender(ctx context.Context, req *connect.Request[controlv1.SurrenderRequest]) (*connect.Response[controlv1.AskReply], error) {
+	return c.surrender.CallUnary(ctx, req)
+}
+
 // FenceHandler is an implementation of the vanillabarrow.control.v1.Fence service.
 type FenceHandler interface {
 	// Ask reports on an attempt and fences it when it has not started.
 	Ask(context.Context, *connect.Request[controlv1.AskRequest]) (*connect.Response[controlv1.AskReply], error)
+	// Surrender gives up an idempotency key to its new home.
+	Surrender(context.Context, *connect.Request[controlv1.SurrenderRequest]) (*connect.Response[controlv1.AskReply], error)
 }
 
 // NewFenceHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -229,10 +247,18 @@
 		connect.WithSchema(fenceMethods.ByName("Ask")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fenceSurrenderHandler := connect.NewUnaryHandler(
+		FenceSurrenderProcedure,
+		svc.Surrender,
+		connect.WithSchema(fenceMethods.ByName("Surrender")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/vanillabarrow.control.v1.Fence/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FenceAskProcedure:
 			fenceAskHandler.ServeHTTP(w, r)
+		case FenceSurrenderProcedure:
+			fenceSurrenderHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -245,3 +271,7 @@
 func (UnimplementedFenceHandler) Ask(context.Context, *connect.Request[controlv1.AskRequest]) (*connect.Response[controlv1.AskReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanillabarrow.control.v1.Fence.Ask is not implemented"))
 }
+
+func (UnimplementedFenceHandler) Surrender(context.Context, *connect.Request[controlv1.SurrenderRequest]) (*connect.Response[controlv1.AskReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanillabarrow.control.v1.Fence.Surrender is not implemented"))
+}
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -187,14 +187,49 @@
 	if err != nil {
 		return nil, fmt.Errorf("ask %s about attempt %s: %w", a.Address, a.ID, err)
 	}
+	return reportFromProto(response.Msg, a.Target.Name), nil
+}
+
+// KeyMemory implements vanillabarrow.KeyMemory.
+type KeyMemory struct {
+	client *http.Client
+}
+
+// NewKeyMemory returns a client for the key memories of other gates.
+func NewKeyMemory() *KeyMemory {
+	return &KeyMemory{client: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+	}}}
+}
+
+// Surrender implements vanillabarrow.KeyMemory.
+func (m *KeyMemory) Surrender(ctx context.Context, address string, q vanillabarrow.KeyQuestion) (*vanillabarrow.AttemptReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	response, err := controlv1connect.NewFenceClient(m.client, "http://"+address).Surrender(ctx,
+		connect.NewRequest(&controlv1.SurrenderRequest{
+			Target:      q.Target,
+			Service:     q.Service,
+			Key:         q.Key,
+			Fingerprint: q.Fingerprint,
+		}))
+	if err != nil {
+		return nil, fmt.Errorf("ask %s about a key: %w", address, err)
+	}
+	return reportFromProto(response.Msg, q.Target), nil
+}
+
+func reportFromProto(m *controlv1.AskReply, target string) *vanillabarrow.AttemptReport {
 	report := &vanillabarrow.AttemptReport{
-		State:  stateFromProto(response.Msg.GetState()),
-		Answer: answerFromProto(response.Msg.GetAnswer()),
+		State:  stateFromProto(m.GetState()),
+		Answer: answerFromProto(m.GetAnswer()),
 	}
 	if report.Answer != nil {
-		report.Answer.Target = a.Target.Name
+		report.Answer.Target = target
 	}
-	return report, nil
+	return report
 }
 
 // joined returns the whole body of an answer for writing.
--- a/internal/peer/plugin.go
+++ b/internal/peer/plugin.go
@@ -25,6 +25,7 @@
 				provideForwarder, provideRelayClient, NewRelayServer, NewServer,
 				func(o *observer) Observer { return o },
 				newObserver,
+				func() vanillabarrow.KeyMemory { return NewKeyMemory() },
 			),
 			fx.Invoke(serve),
 			kernel.ProvideState(func(s *RelayServer) kernel.StateSource {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -52,10 +52,24 @@
 		Target: &vanillabarrow.Target{Name: r.Msg.GetTarget()},
 		Token:  vanillabarrow.Token{Incarnation: r.Msg.GetIncarnation(), Epoch: r.Msg.GetEpoch()},
 	})
-	return connect.NewResponse(&controlv1.AskReply{
+	return connect.NewResponse(reportToProto(report)), nil
+}
+
+// Surrender implements the Fence service.
+func (s *Server) Surrender(_ context.Context, r *connect.Request[controlv1.SurrenderRequest]) (*connect.Response[controlv1.AskReply], error) {
+	return connect.NewResponse(reportToProto(s.gate.Surrender(vanillabarrow.KeyQuestion{
+		Target:      r.Msg.GetTarget(),
+		Service:     r.Msg.GetService(),
+		Key:         r.Msg.GetKey(),
+		Fingerprint: r.Msg.GetFingerprint(),
+	}))), nil
+}
+
+func reportToProto(report *vanillabarrow.AttemptReport) *controlv1.AskReply {
+	return &controlv1.AskReply{
 		State:  statesToProto[report.State],
 		Answer: answerToProto(report.Answer),
-	}), nil
+	}
 }
 
 // forwarded handles one forwarded attempt.
--- a/internal/relay/parent.go
+++ b/internal/relay/parent.go
@@ -25,10 +25,11 @@
 func (f *Follower) loopParent(ctx context.Context, slot int) {
 	failures := 0
 	for ctx.Err() == nil {
+		changed := f.Members.Changed()
 		address := f.parentFor(slot, failures)
 		if address == "" {
 			failures = 0
-			sleep(ctx, jittered(roleCheck)())
+			sleepUntil(ctx, changed, jittered(roleCheck)())
 			continue
 		}
 		f.parents[slot].Store(&address)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -164,6 +164,17 @@
 	}
 }
 
+// sleepUntil waits for the channel, at most for the delay.
+func sleepUntil(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
 // offer gives a bundle to the table and logs what became of it.
 func (f *Follower) offer(b *vanillabarrow.Bundle, from string) {
 	outcome, err := f.Table.Offer(b, time.Now())
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -18,6 +18,7 @@
 func (f *Follower) loopSource(ctx context.Context, topic vanillabarrow.Topic) {
 	failures := 0
 	for ctx.Err() == nil {
+		changed := f.Members.Changed()
 		switch {
 		case f.Members.View().Reader:
 			if err := f.watchSource(ctx, topic); err != nil {
@@ -34,7 +35,7 @@
 			}
 			sleep(ctx, jittered(escalateAfter)())
 		default:
-			sleep(ctx, jittered(roleCheck)())
+			sleepUntil(ctx, changed, jittered(roleCheck)())
 		}
 	}
 }
--- a/request.go
+++ b/request.go
@@ -116,6 +116,15 @@
 	Answer *Answer
 }
 
+// KeyQuestion names an idempotency key and the request that it belongs to.
+type KeyQuestion struct {
+	Target  string
+	Service string
+	Key     string
+	// Fingerprint is a hash of the request.
+	Fingerprint uint64
+}
+
 // TargetSignal is what an attempt at a target tells about the target.
 type TargetSignal int
 
