--- a/internal/gate/keys.go
+++ b/internal/gate/keys.go
@@ -119,4 +119,3 @@
 	_, _ = d.Write(r.Body)
 	return d.Sum64()
 }
-
--- a/internal/inventory/compile.go
+++ b/internal/inventory/compile.go
@@ -71,3 +71,16 @@
 	}
 	return New().Compile(b)
 }
+
+// Split returns the manifest of the files and their values, without
+// revisions.
+func Split(files []File) (*Manifest, []vanillabarrow.Value) {
+	m := &Manifest{Kind: KindManifest, Schema: SchemaVersion}
+	var values []vanillabarrow.Value
+	for _, f := range files {
+		digest := Digest(f.Bytes)
+		m.Parts = append(m.Parts, ManifestPart{Name: f.Name, Digest: digest})
+		values = append(values, vanillabarrow.Value{Key: vanillabarrow.PartKeyPrefix + digest, Bytes: f.Bytes})
+	}
+	return m, values
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/caller"
 	"github.com/vanillabarrow/vanillabarrow/internal/standin"
 )
 
@@ -47,6 +48,8 @@
 	// BodyBytes is the size of a POST body.
 	BodyBytes int
 	Timeout   time.Duration
+	// Direct is set for load on targets themselves, which give no verdict.
+	Direct bool
 }
 
 // Second counts what ended in one second of the run.
@@ -179,14 +182,17 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	verdict := response.Header.Get("Vb-Verdict")
+	verdict := response.Header.Get(caller.VerdictHeader)
+	if g.cfg.Direct && response.StatusCode == http.StatusOK {
+		verdict = vanillabarrow.VerdictFinished.String()
+	}
 	if err != nil || verdict == "" {
 		g.record(id, "", outcome{write: write}, false, due)
 		return
 	}
 	o := outcome{verdict: vanillabarrow.ParseVerdict(verdict), write: write}
 	wrong := o.verdict == vanillabarrow.VerdictFinished && !g.right(request, id, body)
-	g.record(id, verdict+"/"+response.Header.Get("Vb-Reason"), o, wrong, due)
+	g.record(id, verdict+"/"+response.Header.Get(caller.ReasonHeader), o, wrong, due)
 }
 
 func (g *Generator) request(ctx context.Context, n int, id string, write bool) (*http.Request, error) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -299,3 +299,16 @@
 	m.wg.Wait()
 	return errors.Join(failed...)
 }
+
+// ControlBytes returns the bytes of all control connections so far, counted
+// at the sides that opened them.
+func (m *Mesh) ControlBytes() uint64 {
+	var n uint64
+	for _, member := range m.Members {
+		if member.Node != nil {
+			s := member.Node.Status()
+			n += s.ControlReceived + s.ControlSent
+		}
+	}
+	return n
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,7 +76,7 @@
 			func() *kernel.Identity {
 				return kernel.NewIdentity(s.Node.VM, s.Node.DataCentre, s.Node.Target)
 			},
-			newPool, newMetrics,
+			newPool, newMetrics, kernel.NewTraffic,
 		),
 		kernel.Options(),
 		fx.Invoke(func(p collected) { n.drainers, n.server = p.Drainers, p.Server }),
--- a/internal/operator/plugin.go
+++ b/internal/operator/plugin.go
@@ -29,6 +29,7 @@
 	Members  *membership.Table
 	Follower *relay.Follower
 	Gate     *gate.Gate
+	Traffic  *kernel.Traffic
 	Metrics  http.Handler
 	States   []kernel.StateSource `group:"states"`
 	Logger   *slog.Logger
@@ -41,6 +42,7 @@
 		Members:  p.Members,
 		Follower: p.Follower,
 		Gate:     p.Gate,
+		Traffic:  p.Traffic,
 		Metrics:  p.Metrics,
 		States:   p.States,
 		Logger:   p.Logger,
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -35,6 +35,10 @@
 	// AgeSeconds is the time since a source last confirmed the version.
 	AgeSeconds    float64 `json:"ageSeconds"`
 	UptimeSeconds float64 `json:"uptimeSeconds"`
+	// ControlReceived and ControlSent count the bytes of control connections
+	// that the node opened.
+	ControlReceived uint64 `json:"controlReceived"`
+	ControlSent     uint64 `json:"controlSent"`
 }
 
 // Config holds what a server is made of.
@@ -44,6 +48,7 @@
 	Members  *membership.Table
 	Follower *relay.Follower
 	Gate     *gate.Gate
+	Traffic  *kernel.Traffic
 	Metrics  http.Handler
 	States   []kernel.StateSource
 	Logger   *slog.Logger
@@ -85,6 +90,7 @@
 		Load:          s.Gate.Load(),
 		UptimeSeconds: now.Sub(s.start).Seconds(),
 	}
+	status.ControlReceived, status.ControlSent = s.Traffic.Bytes()
 	if snapshot := s.Table.Snapshot(); snapshot != nil {
 		status.Version = snapshot.Version
 		target, ok := snapshot.Targets[s.Identity.Target]
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/message"
 	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1"
 	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1/controlv1connect"
@@ -55,7 +56,7 @@
 }
 
 // NewForwarder returns a forwarder for the node on the given VM.
-func NewForwarder(vm string, observer Observer) *Forwarder {
+func NewForwarder(vm string, observer Observer, traffic *kernel.Traffic) *Forwarder {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Forwarder{
 		vm:       vm,
@@ -71,7 +72,7 @@
 		// A question about a lost attempt must not share the fate of the
 		// connection that lost it.
 		fresh: &http.Client{Transport: &http.Transport{
-			DialContext:       dialer.DialContext,
+			DialContext:       traffic.Dial(dialer),
 			DisableKeepAlives: true,
 		}},
 	}
@@ -196,9 +197,9 @@
 }
 
 // NewKeyMemory returns a client for the key memories of other gates.
-func NewKeyMemory() *KeyMemory {
+func NewKeyMemory(traffic *kernel.Traffic) *KeyMemory {
 	return &KeyMemory{client: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         traffic.Dial(&net.Dialer{Timeout: dialTimeout}),
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 	}}}
--- a/internal/peer/plugin.go
+++ b/internal/peer/plugin.go
@@ -25,7 +25,7 @@
 				provideForwarder, provideRelayClient, NewRelayServer, NewServer,
 				func(o *observer) Observer { return o },
 				newObserver,
-				func() vanillabarrow.KeyMemory { return NewKeyMemory() },
+				func(t *kernel.Traffic) vanillabarrow.KeyMemory { return NewKeyMemory(t) },
 			),
 			fx.Invoke(serve),
 			kernel.ProvideState(func(s *RelayServer) kernel.StateSource {
@@ -38,14 +38,14 @@
 	})
 }
 
-func provideForwarder(lc fx.Lifecycle, id *kernel.Identity, o Observer) vanillabarrow.Forwarder {
-	f := NewForwarder(id.VM, o)
+func provideForwarder(lc fx.Lifecycle, id *kernel.Identity, o Observer, t *kernel.Traffic) vanillabarrow.Forwarder {
+	f := NewForwarder(id.VM, o, t)
 	lc.Append(fx.StopHook(f.Close))
 	return f
 }
 
-func provideRelayClient(lc fx.Lifecycle, id *kernel.Identity) vanillabarrow.Relay {
-	c := NewRelayClient(id.VM)
+func provideRelayClient(lc fx.Lifecycle, id *kernel.Identity, t *kernel.Traffic) vanillabarrow.Relay {
+	c := NewRelayClient(id.VM, t)
 	lc.Append(fx.StopHook(c.Close))
 	return c
 }
--- a/internal/peer/relay_client.go
+++ b/internal/peer/relay_client.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1"
 	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1/controlv1connect"
 )
@@ -32,11 +33,11 @@
 }
 
 // NewRelayClient returns a client for the node on the given VM.
-func NewRelayClient(vm string) *RelayClient {
+func NewRelayClient(vm string, traffic *kernel.Traffic) *RelayClient {
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
 	return &RelayClient{vm: vm, client: &http.Client{Transport: &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:     traffic.Dial(&net.Dialer{Timeout: dialTimeout}),
 		Protocols:       protocols,
 		IdleConnTimeout: idleTimeout,
 		HTTP2: &http.HTTP2Config{
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,6 +14,7 @@
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/inventory"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 )
 
 const (
@@ -25,6 +27,7 @@
 	// idleConnections is enough for one watch of each topic and a read.
 	idleConnections = 4
 	idleTimeout     = 60 * time.Second
+	dialTimeout     = 2 * time.Second
 )
 
 // Client implements vanillabarrow.Source over HTTP.
@@ -36,8 +39,9 @@
 
 // New returns a client for the service at the URL. From names the data centre
 // of the node, which the service may log.
-func New(url, from string) *Client {
+func New(url, from string, traffic *kernel.Traffic) *Client {
 	return &Client{url: strings.TrimSuffix(url, "/"), from: from, client: &http.Client{Transport: &http.Transport{
+		DialContext:         traffic.Dial(&net.Dialer{Timeout: dialTimeout}),
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 	}}}
--- a/internal/platform/plugin.go
+++ b/internal/platform/plugin.go
@@ -12,8 +12,8 @@
 	kernel.Register(kernel.Plugin{Name: "platform", Options: fx.Provide(provide)})
 }
 
-func provide(lc fx.Lifecycle, s settings.Settings) vanillabarrow.Source {
-	c := New(s.Platform.URL, s.Node.DataCentre)
+func provide(lc fx.Lifecycle, s settings.Settings, t *kernel.Traffic) vanillabarrow.Source {
+	c := New(s.Platform.URL, s.Node.DataCentre, t)
 	lc.Append(fx.StopHook(c.Close))
 	return c
 }
--- /dev/null
+++ b/pkg/cmd/config/check/check.go
@@ -0,0 +1,105 @@
+// Package check implements "vanillabarrow config check".
+package check
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/inventory"
+	"github.com/vanillabarrow/vanillabarrow/pkg/cmdutil"
+	"github.com/vanillabarrow/vanillabarrow/pkg/iostreams"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	IO    *iostreams.IOStreams
+	Read  func(name string) ([]byte, error)
+	Files []string
+	JSON  bool
+}
+
+// Report is the result in JSON.
+type Report struct {
+	OK       bool                `json:"ok"`
+	Problems []inventory.Problem `json:"problems,omitempty"`
+	Services int                 `json:"services"`
+	Targets  int                 `json:"targets"`
+}
+
+// NewCmdCheck returns the command. Tests give runF to stop before the run.
+func NewCmdCheck(f *cmdutil.Factory, runF func(ctx context.Context, opts *Options) error) *ffcli.Command {
+	opts := &Options{IO: f.IO, Read: f.ReadInput}
+	fs := cmdutil.NewFlagSet("check")
+	fs.BoolVar(&opts.JSON, "json", false, "print JSON")
+	return &ffcli.Command{
+		Name:       "check",
+		ShortUsage: "vanillabarrow config check <file>... [flags]",
+		ShortHelp:  "Check inventory and rules as a node would",
+		LongHelp: `The files are joined and checked by the compiler that nodes use. Every fault
+is listed with its file, line and field. The exit code is 1 when there is any.
+
+Examples:
+  vanillabarrow config check inventory.yaml rules.yaml
+  generate-inventory | vanillabarrow config check - rules.yaml`,
+		FlagSet: fs,
+		Options: cmdutil.Options(),
+		Exec: func(ctx context.Context, args []string) error {
+			args, err := cmdutil.Positional(fs, args)
+			if err != nil {
+				return err
+			}
+			if err := cmdutil.MinArgs(args, 1, "at least one file"); err != nil {
+				return err
+			}
+			opts.Files = args
+			if runF != nil {
+				return runF(ctx, opts)
+			}
+			return run(opts)
+		},
+	}
+}
+
+func run(opts *Options) error {
+	files, err := cmdutil.ReadDocuments(opts.Read, opts.Files)
+	if err != nil {
+		return err
+	}
+	snapshot, err := inventory.CompileFiles(1, files)
+	report := Report{OK: err == nil}
+	if err != nil {
+		var problems inventory.Problems
+		if !errors.As(err, &problems) {
+			return err
+		}
+		report.Problems = problems
+	} else {
+		report.Services, report.Targets = len(snapshot.Services), len(snapshot.Targets)
+	}
+	if err := write(opts, report); err != nil {
+		return err
+	}
+	if !report.OK {
+		return cmdutil.ErrSilent
+	}
+	return nil
+}
+
+func write(opts *Options, report Report) error {
+	if opts.JSON {
+		return cmdutil.PrintJSON(opts.IO, report)
+	}
+	for _, p := range report.Problems {
+		if _, err := fmt.Fprintln(opts.IO.ErrOut, p.Error()); err != nil {
+			return err
+		}
+	}
+	if !report.OK {
+		return nil
+	}
+	_, err := fmt.Fprintf(opts.IO.Out, "ok: %d services, %d targets\n", report.Services, report.Targets)
+	return err
+}
--- /dev/null
+++ b/pkg/cmd/demo/demo.go
@@ -0,0 +1,143 @@
+// Package demo implements "vanillabarrow demo".
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/demo"
+	"github.com/vanillabarrow/vanillabarrow/internal/standin"
+	"github.com/vanillabarrow/vanillabarrow/pkg/cmdutil"
+	"github.com/vanillabarrow/vanillabarrow/pkg/iostreams"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	IO      *iostreams.IOStreams
+	Config  demo.Config
+	JSON    bool
+	Verbose bool
+}
+
+// NewCmdDemo returns the command. Tests give runF to stop before the run.
+func NewCmdDemo(f *cmdutil.Factory, runF func(ctx context.Context, opts *Options) error) *ffcli.Command {
+	opts := &Options{IO: f.IO, Config: demo.Default()}
+	fs := cmdutil.NewFlagSet("demo")
+	fs.BoolVar(&opts.JSON, "json", false, "print JSON")
+	fs.BoolVar(&opts.Verbose, "verbose", false, "log the nodes' events")
+	fs.Float64Var(&opts.Config.Rate, "rate", opts.Config.Rate, "requests a `second` for each deployment")
+	fs.DurationVar(&opts.Config.Load, "load", opts.Config.Load, "`time` under load")
+	return &ffcli.Command{
+		Name:       "demo",
+		ShortUsage: "vanillabarrow demo [flags]",
+		ShortHelp:  "Run two deployments on embedded stand-ins",
+		LongHelp: `Two deployments run in this process, with real nodes on loopback sockets.
+Versions are published, load is offered with checked answers, and a data centre
+is taken out and brought back. The exit code is 1 when an answer was wrong, or
+a request was lost, ran twice or was falsely said not to have run.
+
+Examples:
+  vanillabarrow demo
+  vanillabarrow demo -json -rate 500`,
+		FlagSet: fs,
+		Options: cmdutil.Options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := cmdutil.ExactArgs(args, 0, "no arguments"); err != nil {
+				return err
+			}
+			if opts.Config.Rate <= 0 || opts.Config.Load < time.Second {
+				return cmdutil.FlagErrorf("-rate must be above zero and -load at least 1s")
+			}
+			if runF != nil {
+				return runF(ctx, opts)
+			}
+			return run(ctx, opts)
+		},
+	}
+}
+
+func run(ctx context.Context, opts *Options) error {
+	var logs io.Writer = io.Discard
+	if opts.Verbose {
+		logs = opts.IO.ErrOut
+	}
+	logger := slog.New(slog.NewTextHandler(logs, nil))
+	var reports []*demo.Report
+	for _, d := range []standin.Deployment{standin.Cenovka(), standin.Visites()} {
+		if !opts.JSON {
+			_, _ = fmt.Fprintf(opts.IO.ErrOut, "running %s: %d data centres\n", d.Name, len(d.DataCentres))
+		}
+		report, err := demo.Run(ctx, d, opts.Config, logger)
+		if err != nil {
+			return fmt.Errorf("%s: %w", d.Name, err)
+		}
+		reports = append(reports, report)
+	}
+	if err := write(opts, reports); err != nil {
+		return err
+	}
+	return judge(reports)
+}
+
+func judge(reports []*demo.Report) error {
+	var errs []error
+	for _, r := range reports {
+		for _, failure := range r.Failures() {
+			errs = append(errs, errors.New(failure))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func write(opts *Options, reports []*demo.Report) error {
+	if opts.JSON {
+		return cmdutil.PrintJSON(opts.IO, reports)
+	}
+	heading := []string{"MEASURE"}
+	for _, r := range reports {
+		heading = append(heading, r.Deployment)
+	}
+	table := cmdutil.NewTable(opts.IO, heading...)
+	for _, line := range lines {
+		row := []any{line.name}
+		for _, r := range reports {
+			row = append(row, line.value(r))
+		}
+		table.Row(row...)
+	}
+	return table.Print()
+}
+
+// lines are the rows of the table.
+var lines = []struct {
+	name  string
+	value func(r *demo.Report) any
+}{
+	{"nodes", func(r *demo.Report) any { return r.Nodes }},
+	{"convergence p50", func(r *demo.Report) any { return round(r.ConvergeP50) }},
+	{"convergence p99", func(r *demo.Report) any { return round(r.ConvergeP99) }},
+	{"convergence max", func(r *demo.Report) any { return round(r.ConvergeMax) }},
+	{"control bytes per node and second", func(r *demo.Report) any { return int(r.ControlBytes) }},
+	{"data centre taken out and back", func(r *demo.Report) any { return r.Left }},
+	{"requests offered", func(r *demo.Report) any { return r.Load.Offered }},
+	{"finished", func(r *demo.Report) any { return r.Load.Finished }},
+	{"refused not-run", func(r *demo.Report) any { return r.Load.NotRun }},
+	{"may-have-run", func(r *demo.Report) any { return r.Load.MayHaveRun }},
+	{"no verdict", func(r *demo.Report) any { return r.Load.Failed }},
+	{"wrong answers", func(r *demo.Report) any { return r.Load.Wrong }},
+	{"lost", func(r *demo.Report) any { return r.Account.Lost }},
+	{"run twice", func(r *demo.Report) any { return r.Account.Twice }},
+	{"falsely not-run", func(r *demo.Report) any { return r.Account.FalseNotRun }},
+	{"latency direct p50", func(r *demo.Report) any { return round(r.DirectP50) }},
+	{"latency direct p99", func(r *demo.Report) any { return round(r.DirectP99) }},
+	{"latency added p50", func(r *demo.Report) any { return round(r.AddedP50()) }},
+	{"latency added p99", func(r *demo.Report) any { return round(r.AddedP99()) }},
+}
+
+func round(d time.Duration) time.Duration { return d.Round(10 * time.Microsecond) }
--- /dev/null
+++ b/pkg/cmd/node/run/run.go
@@ -0,0 +1,147 @@
+// Package run implements "vanillabarrow node run".
+package run
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/node"
+	"github.com/vanillabarrow/vanillabarrow/internal/settings"
+	"github.com/vanillabarrow/vanillabarrow/pkg/cmdutil"
+	"github.com/vanillabarrow/vanillabarrow/pkg/iostreams"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	IO       *iostreams.IOStreams
+	ReadFile func(name string) ([]byte, error)
+
+	SettingsFile string
+	// The following replace single settings when they are not empty.
+	VM              string
+	DataCentre      string
+	Target          string
+	CallerAddress   string
+	PeerAddress     string
+	OperatorAddress string
+	PlatformURL     string
+	LogLevel        string
+	CheckOnly       bool
+}
+
+// NewCmdRun returns the command. Tests give runF to stop before the run.
+func NewCmdRun(f *cmdutil.Factory, runF func(ctx context.Context, opts *Options) error) *ffcli.Command {
+	opts := &Options{IO: f.IO, ReadFile: f.ReadFile}
+	fs := cmdutil.NewFlagSet("run")
+	fs.StringVar(&opts.SettingsFile, "settings", "", "read settings from `file`")
+	fs.StringVar(&opts.VM, "vm", "", "`name` of the VM")
+	fs.StringVar(&opts.DataCentre, "data-centre", "", "`name` of the data centre")
+	fs.StringVar(&opts.Target, "target", "", "`name` of the target to guard")
+	fs.StringVar(&opts.CallerAddress, "listen-caller", "", "`address` for callers")
+	fs.StringVar(&opts.PeerAddress, "listen-peer", "", "`address` for other nodes")
+	fs.StringVar(&opts.OperatorAddress, "listen-operator", "", "`address` for operators")
+	fs.StringVar(&opts.PlatformURL, "platform-url", "", "`URL` of the configuration service")
+	fs.StringVar(&opts.LogLevel, "log-level", "", "`level`: debug, info, warn or error")
+	fs.BoolVar(&opts.CheckOnly, "check", false, "check the settings and end")
+	return &ffcli.Command{
+		Name:       "run",
+		ShortUsage: "vanillabarrow node run -settings <file> [flags]",
+		ShortHelp:  "Run the node beside a target",
+		LongHelp: `The node runs until it gets SIGTERM or SIGINT. It then announces that it
+leaves, finishes what is in flight and ends.
+
+Flags and environment variables (VANILLABARROW_LISTEN_PEER and so on) go
+before the settings file.
+
+Examples:
+  vanillabarrow node run -settings node.yaml
+  vanillabarrow node run -settings node.yaml -log-level debug`,
+		FlagSet: fs,
+		Options: cmdutil.Options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := cmdutil.ExactArgs(args, 0, "no arguments"); err != nil {
+				return err
+			}
+			if opts.SettingsFile == "" {
+				return cmdutil.FlagErrorf("-settings is required")
+			}
+			if runF != nil {
+				return runF(ctx, opts)
+			}
+			return run(ctx, opts)
+		},
+	}
+}
+
+// load reads the settings and puts flags over them.
+func load(opts *Options) (settings.Settings, error) {
+	b, err := opts.ReadFile(opts.SettingsFile)
+	if err != nil {
+		return settings.Settings{}, err
+	}
+	s, err := settings.Parse(opts.SettingsFile, b)
+	if err != nil {
+		return settings.Settings{}, err
+	}
+	for _, o := range []struct {
+		value string
+		into  *string
+	}{
+		{opts.VM, &s.Node.VM},
+		{opts.DataCentre, &s.Node.DataCentre},
+		{opts.Target, &s.Node.Target},
+		{opts.CallerAddress, &s.Listen.Caller},
+		{opts.PeerAddress, &s.Listen.Peer},
+		{opts.OperatorAddress, &s.Listen.Operator},
+		{opts.PlatformURL, &s.Platform.URL},
+		{opts.LogLevel, &s.Log.Level},
+	} {
+		if o.value != "" {
+			*o.into = o.value
+		}
+	}
+	if err := s.Check(); err != nil {
+		return settings.Settings{}, fmt.Errorf("%s: %w", opts.SettingsFile, err)
+	}
+	return s, nil
+}
+
+// NewLogger returns the logger of a node: one line of key=value pairs an event.
+func NewLogger(w io.Writer, level string) *slog.Logger {
+	var l slog.Level
+	// The level was checked with the settings.
+	_ = l.UnmarshalText([]byte(level))
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l}))
+}
+
+func run(ctx context.Context, opts *Options) error {
+	s, err := load(opts)
+	if err != nil {
+		return err
+	}
+	if opts.CheckOnly {
+		_, err := fmt.Fprintln(opts.IO.Out, opts.SettingsFile+": ok")
+		return err
+	}
+	logger := NewLogger(opts.IO.ErrOut, s.Log.Level).With("vm", s.Node.VM)
+	listeners, err := node.Listen(s)
+	if err != nil {
+		return err
+	}
+	n, err := node.New(s, listeners, logger)
+	if err != nil {
+		node.Close(listeners)
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		node.Close(listeners)
+		return err
+	}
+	<-ctx.Done()
+	logger.Info("stopping")
+	return n.Stop(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/pkg/cmdutil/documents.go
@@ -0,0 +1,18 @@
+package cmdutil
+
+import (
+	"github.com/vanillabarrow/vanillabarrow/internal/inventory"
+)
+
+// ReadDocuments reads configuration documents.
+func ReadDocuments(read func(name string) ([]byte, error), names []string) ([]inventory.File, error) {
+	files := make([]inventory.File, 0, len(names))
+	for _, name := range names {
+		b, err := read(name)
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, inventory.File{Name: name, Bytes: b})
+	}
+	return files, nil
+}
--- /dev/null
+++ b/pkg/cmdutil/factory.go
@@ -0,0 +1,73 @@
+// Package cmdutil holds what the commands share.
+package cmdutil
+
+import (
+	"flag"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/vanillabarrow/vanillabarrow/pkg/iostreams"
+)
+
+// EnvPrefix starts the environment variables that stand for flags.
+const EnvPrefix = "VANILLABARROW"
+
+// httpTimeout bounds a call to one node.
+const httpTimeout = 5 * time.Second
+
+// Factory hands commands what they need from the outside.
+type Factory struct {
+	IO       *iostreams.IOStreams
+	HTTP     *http.Client
+	ReadFile func(name string) ([]byte, error)
+	Version  string
+}
+
+// NewFactory returns a factory for the process.
+func NewFactory(version string) *Factory {
+	return &Factory{
+		IO:       iostreams.System(),
+		HTTP:     &http.Client{Timeout: httpTimeout},
+		ReadFile: os.ReadFile,
+		Version:  version,
+	}
+}
+
+// NewFlagSet returns a flag set that reports its errors to the caller.
+func NewFlagSet(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	return fs
+}
+
+// Options returns the parse options of all commands: environment variables
+// stand for flags that are not given.
+func Options() []ff.Option {
+	return []ff.Option{ff.WithEnvVarPrefix(EnvPrefix)}
+}
+
+// ReadInput reads a file, or the input stream for "-".
+func (f *Factory) ReadInput(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(f.IO.In)
+	}
+	return f.ReadFile(name)
+}
+
+// Group returns a command that only has subcommands.
+func Group(name, short string, subcommands ...*ffcli.Command) *ffcli.Command {
+	return &ffcli.Command{
+		Name:        name,
+		ShortUsage:  "vanillabarrow " + name + " <command> [flags]",
+		ShortHelp:   short,
+		FlagSet:     NewFlagSet(name),
+		Options:     Options(),
+		Subcommands: subcommands,
+		Exec:        ExecGroup,
+	}
+}
