Prove the request path by a stateful fuzz test, and mend what it found

The test plays drawn plans of requests, network faults (lost, late, doubled, crossed, refused), restarts, pauses, cuts, outages and targets taken out, under virtual time, against an oracle that knows what each target ran. A key ran twice: two gates with different configuration versions each surrendered the key to the other. A surrender now names the version, a gate that is behind gets no key, and a key is regained by a later version only. 2. A refusal said not-run, and a second copy of the message ran later, when the reason for the refusal had gone. Refusals are now on record before any other check, for idempotent requests too. 3. A full fence table refused with not-run although it kept no record; the verdict is now may-have-run.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+.PHONY: test fuzz bench demo
+
+# test is the README's test command. Seeds are fixed.
+test:
+	go test -race -timeout 20m ./...
+
+# fuzz runs the stateful tests for longer, at a random seed.
+FUZZ_CHECKS ?= 50000
+fuzz:
+	go test -timeout 60m ./internal/dispatch ./internal/relay ./internal/rollout -run 'Machine' -rapid.seed=0 -rapid.checks=$(FUZZ_CHECKS)
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+demo:
+	go run ./cmd/vanillabarrow demo
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/vanillabarrow/vanillabarrow/internal/idempotency"
 	"github.com/vanillabarrow/vanillabarrow/internal/inventory"
 	"github.com/vanillabarrow/vanillabarrow/internal/load"
 	"github.com/vanillabarrow/vanillabarrow/internal/mesh"
@@ -23,6 +24,9 @@
 	convergeBound = 4 * time.Second
 	// requestTimeout is the callers' own timeout.
 	requestTimeout = 10 * time.Second
+	// settle lets the gates grow older than the assumed clock skew, before
+	// which they can't tell whether a key was used before they started.
+	settle = idempotency.ClockSkew + 200*time.Millisecond
 	// writeShare and keyedShare shape the load.
 	writeShare = 0.5
 	keyedShare = 0.5
@@ -41,7 +45,7 @@
 
 // Default returns the shape of the demo.
 func Default() Config {
-	return Config{Rate: 300, Load: 9 * time.Second, Compare: 3 * time.Second}
+	return Config{Rate: 300, Load: 6 * time.Second, Compare: 2 * time.Second}
 }
 
 // Report is what a run found.
@@ -134,6 +138,9 @@
 		}
 		times = append(times, each...)
 	}
+	if !wait(ctx, settle) {
+		return ctx.Err()
+	}
 	slices.Sort(times)
 	r.report.ConvergeP50 = times[len(times)/2]
 	r.report.ConvergeP99 = times[len(times)*99/100]
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -103,11 +103,10 @@
 		case out := <-r.result:
 			return d.finish(ctx, r, out)
 		case <-timer.C:
-			answer, err, settled := d.probe(ctx, a)
-			if settled {
+			if out, settled := d.probe(ctx, a); settled {
 				cancel()
 				go r.loopDiscard()
-				return answer, err
+				return out.answer, out.err
 			}
 			timer.Reset(probeAfter)
 		case <-ctx.Done():
@@ -160,8 +159,8 @@
 	ctx, cancel := context.WithTimeout(ctx, settleFor)
 	defer cancel()
 	for {
-		if answer, err, settled := d.probe(ctx, a); settled {
-			return answer, err
+		if out, settled := d.probe(ctx, a); settled {
+			return out.answer, out.err
 		}
 		timer := time.NewTimer(askAgain)
 		select {
@@ -174,26 +173,26 @@
 }
 
 // probe asks the gate once. Settled is false while the outcome stays open.
-func (d *Dispatcher) probe(ctx context.Context, a *vanillabarrow.Attempt) (answer *vanillabarrow.Answer, err error, settled bool) { //nolint:revive // the flag qualifies both other results
+func (d *Dispatcher) probe(ctx context.Context, a *vanillabarrow.Attempt) (out outcome, settled bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	report, err := d.Forwarder.Ask(ctx, a)
 	if err != nil {
-		return nil, nil, false
+		return outcome{}, false
 	}
 	d.Scope.Tagged(map[string]string{"state": report.State.String()}).Counter("settled").Inc(1)
 	switch report.State {
 	case vanillabarrow.AttemptRunning:
-		return nil, nil, false
+		return outcome{}, false
 	case vanillabarrow.AttemptFinished:
 		if report.Answer == nil {
-			return nil, vanillabarrow.MayHaveRun(vanillabarrow.ReasonAnswerLost, "the answer is no longer stored"), true
+			return outcome{err: vanillabarrow.MayHaveRun(vanillabarrow.ReasonAnswerLost, "the answer is no longer stored")}, true
 		}
-		return report.Answer, nil, true
+		return outcome{answer: report.Answer}, true
 	case vanillabarrow.AttemptFenced:
-		return nil, fenced(a), true
+		return outcome{err: fenced(a)}, true
 	default:
-		return nil, vanillabarrow.MayHaveRun(vanillabarrow.ReasonAnswerLost, "the gate reports "+report.State.String()), true
+		return outcome{err: vanillabarrow.MayHaveRun(vanillabarrow.ReasonAnswerLost, "the gate reports "+report.State.String())}, true
 	}
 }
 
--- a/internal/fence/table.go
+++ b/internal/fence/table.go
@@ -71,13 +71,13 @@
 }
 
 // Begin records the arrival of an attempt. With keep set the record outlives
-// the end of the attempt and the token is checked. The error is a refusal with
-// VerdictNotRun for the message at hand.
+// the end of the attempt. A refusal with VerdictNotRun holds for every copy of
+// the message, whenever it arrives.
 func (t *Table) Begin(id string, token vanillabarrow.Token, keep bool, now time.Time) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	if keep && !t.remembers(token) {
+	if !t.remembers(token) {
 		r := vanillabarrow.NotRun(vanillabarrow.ReasonStaleToken, "")
 		r.Token = t.Token(now)
 		return r
@@ -90,7 +90,8 @@
 		return vanillabarrow.MayHaveRun(vanillabarrow.ReasonDuplicate, "attempt arrived twice")
 	}
 	if len(t.records) >= t.max {
-		return vanillabarrow.NotRun(vanillabarrow.ReasonTableFull, "too many attempts are remembered")
+		// Without a record, a second copy of the message may still run.
+		return vanillabarrow.MayHaveRun(vanillabarrow.ReasonTableFull, "too many attempts are remembered")
 	}
 	t.put(id, &record{state: vanillabarrow.AttemptRunning, keep: keep}, now)
 	return nil
@@ -141,16 +142,15 @@
 	if !ok {
 		return
 	}
-	if !r.keep {
-		t.drop(id)
-		return
-	}
 	switch {
+	case refusal != nil && refusal.Verdict == vanillabarrow.VerdictNotRun:
+		// A second copy of the message must not make the refusal untrue.
+		r.state = vanillabarrow.AttemptFenced
+	case !r.keep:
+		t.drop(id)
 	case refusal == nil:
 		r.state = vanillabarrow.AttemptFinished
 		t.store(id, r, answer)
-	case refusal.Verdict == vanillabarrow.VerdictNotRun:
-		r.state = vanillabarrow.AttemptFenced
 	default:
 		r.state = vanillabarrow.AttemptFailed
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -71,7 +71,7 @@
 	if target, ok := snapshot.Targets[g.target]; ok {
 		g.limiter.SetSlots(target.Slots)
 	}
-	g.homes.Set(homes, time.Now())
+	g.homes.Set(homes, snapshot.Version, time.Now())
 }
 
 // Drain makes the gate refuse new work.
@@ -115,19 +115,13 @@
 func (g *Gate) Handle(ctx context.Context, attempt *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
 	g.running.Add(1)
 	defer g.running.Add(-1)
-	if err := g.check(ctx, attempt); err != nil {
-		return nil, g.count(err)
-	}
 	once := !attempt.Request.Idempotent
+	// Refusals are on record too: a second copy of the message may arrive when
+	// the reason for the refusal has gone.
 	if err := g.fence.Begin(attempt.ID, attempt.Token, once, time.Now()); err != nil {
 		return nil, g.count(err)
 	}
-	if once {
-		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), attempt.Deadline)
-		defer cancel()
-		ctx = detached
-	}
-	answer, err := g.runKeyed(ctx, attempt)
+	answer, err := g.checked(ctx, attempt)
 	var refusal *vanillabarrow.Refusal
 	if err != nil {
 		refusal = vanillabarrow.AsRefusal(err)
@@ -140,6 +134,19 @@
 	return answer, nil
 }
 
+// checked refuses the attempt or runs it.
+func (g *Gate) checked(ctx context.Context, attempt *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	if err := g.check(ctx, attempt); err != nil {
+		return nil, err
+	}
+	if attempt.Request.Idempotent {
+		return g.run(ctx, attempt)
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), attempt.Deadline)
+	defer cancel()
+	return g.runKeyed(ctx, attempt)
+}
+
 func (g *Gate) count(err error) error {
 	refusal := vanillabarrow.AsRefusal(err)
 	g.scope.Tagged(map[string]string{
--- a/internal/gate/keys.go
+++ b/internal/gate/keys.go
@@ -19,7 +19,7 @@
 	request := attempt.Request
 	snapshot := g.cfg.Snapshot()
 	service, ok := snapshot.Services[request.Service]
-	if request.Key == "" || request.Idempotent || !ok || service.KeyWindow == 0 {
+	if request.Key == "" || !ok || service.KeyWindow == 0 {
 		return g.run(ctx, attempt)
 	}
 	claim := g.homes.Claim(request.Key, g.target, service.KeyWindow, time.Now())
@@ -30,6 +30,7 @@
 		Service:     service.Name,
 		Key:         request.Key,
 		Fingerprint: fingerprint(request),
+		Version:     claim.Version,
 	}
 	for _, previous := range claim.Previous {
 		answer, err := g.askPrevious(ctx, snapshot, previous, question)
@@ -38,7 +39,7 @@
 		}
 	}
 	if len(claim.Previous) > 0 {
-		g.keys.Regain(request.Key)
+		g.keys.Regain(request.Key, claim.Version)
 	}
 	use := idempotency.Use{
 		Key:         request.Key,
@@ -95,7 +96,8 @@
 // Surrender implements vanillabarrow.Gate.
 func (g *Gate) Surrender(q vanillabarrow.KeyQuestion) *vanillabarrow.AttemptReport {
 	snapshot := g.cfg.Snapshot()
-	if snapshot == nil || q.Target != g.target {
+	if snapshot == nil || q.Target != g.target || snapshot.Version > q.Version {
+		// A gate that is behind must not take a key from one that is ahead.
 		return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptUnknown}
 	}
 	service, ok := snapshot.Services[q.Service]
@@ -106,7 +108,7 @@
 		Key:         q.Key,
 		Fingerprint: q.Fingerprint,
 		Window:      service.KeyWindow,
-	}, time.Now())
+	}, q.Version, time.Now())
 }
 
 func fingerprint(r *vanillabarrow.Request) uint64 {
--- a/internal/idempotency/home.go
+++ b/internal/idempotency/home.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/membership"
 )
@@ -20,8 +21,9 @@
 // key has one home at a time, so that resends meet the memory of the first
 // use.
 type Homes struct {
-	mu   *kernel.Mutex
-	sets []homeSet
+	mu      *kernel.Mutex
+	sets    []homeSet
+	version vanillabarrow.Version
 }
 
 type homeSet struct {
@@ -33,10 +35,12 @@
 // NewHomes returns an empty history.
 func NewHomes() *Homes { return &Homes{mu: kernel.NewMutex(kernel.RankKeys)} }
 
-// Set notes the present set of targets. The slice must be sorted.
-func (h *Homes) Set(targets []string, now time.Time) {
+// Set notes the present set of targets and the version that gives it. The
+// slice must be sorted.
+func (h *Homes) Set(targets []string, version vanillabarrow.Version, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.version = version
 	if n := len(h.sets); n > 0 {
 		if slices.Equal(h.sets[n-1].targets, targets) {
 			return
@@ -53,6 +57,8 @@
 // know of the key by itself.
 type Claim struct {
 	Home bool
+	// Version is the configuration version that the claim rests on.
+	Version vanillabarrow.Version
 	// Previous lists other targets that were home to the key within the
 	// window. They have to be asked.
 	Previous []string
@@ -69,7 +75,7 @@
 	if n == 0 || !isHome(key, target, h.sets[n-1].targets) {
 		return Claim{}
 	}
-	c := Claim{Home: true}
+	c := Claim{Home: true, Version: h.version}
 	for i := n - 2; i >= 0; i-- {
 		if now.Sub(h.sets[i].until) >= window {
 			return c
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -32,8 +32,9 @@
 	answer      *vanillabarrow.Answer
 	refusal     *vanillabarrow.Refusal
 	expires     time.Time
-	// moved is set once another gate has become home to the key.
-	moved bool
+	// movedTo is the configuration version by which another gate became home
+	// to the key, 0 while this one is.
+	movedTo vanillabarrow.Version
 }
 
 // Table holds the keys of one gate.
@@ -102,7 +103,7 @@
 	defer t.mu.Unlock()
 	t.expire(now)
 	if e, ok := t.entries[use.Key]; ok {
-		if e.moved {
+		if e.movedTo > 0 {
 			return nil, vanillabarrow.NotRun(vanillabarrow.ReasonWrongTarget, "another gate is home to the key")
 		}
 		if e.fingerprint != use.Fingerprint {
@@ -144,16 +145,18 @@
 // their place in the order has passed.
 func (t *Table) full() bool { return len(t.entries) >= t.max || len(t.order) >= 2*t.max }
 
-// Surrender gives the key up to the gate that asks, which is its home now. It
-// reports what is known of the key; from then on the key is refused here. A
-// report of AttemptFenced proves that the key did not run here.
-func (t *Table) Surrender(use Use, now time.Time) *vanillabarrow.AttemptReport {
+// Surrender gives the key up to the gate that asks, which is its home by the
+// given configuration version. It reports what is known of the key; from then
+// on the key is refused here. A report of AttemptFenced proves that the key did
+// not run here.
+func (t *Table) Surrender(use Use, version vanillabarrow.Version, now time.Time) *vanillabarrow.AttemptReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
 	e, ok := t.entries[use.Key]
 	switch {
-	case ok && e.moved:
+	case ok && e.movedTo > 0:
+		e.movedTo = max(e.movedTo, version)
 		return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptFenced}
 	case ok && !e.finished:
 		return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptRunning}
@@ -164,17 +167,18 @@
 	case !t.knows(use.Key, use.Window, use.Since, now) || t.full():
 		return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptUnknown}
 	}
-	t.entries[use.Key] = &entry{finished: true, moved: true, expires: now.Add(use.Window)}
+	t.entries[use.Key] = &entry{finished: true, movedTo: version, expires: now.Add(use.Window)}
 	t.order = append(t.order, use.Key)
 	return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptFenced}
 }
 
-// Regain takes a key back that was surrendered, once this gate is its home
-// again and the gates in between have been asked.
-func (t *Table) Regain(key string) {
+// Regain takes a key back that was surrendered, once a later version makes
+// this gate its home again and the gates in between have been asked. Two gates
+// that hold different versions can't both regain a key.
+func (t *Table) Regain(key string, version vanillabarrow.Version) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e, ok := t.entries[key]; ok && e.moved {
+	if e, ok := t.entries[key]; ok && e.movedTo > 0 && e.movedTo < version {
 		delete(t.entries, key)
 	}
 }
--- a/internal/node/plugins.go
+++ b/internal/node/plugins.go
@@ -1,7 +1,7 @@
 package node
 
-// The plug-ins of a node register themselves when they are imported.
 import (
+	// Plug-ins register themselves when they are imported.
 	_ "github.com/vanillabarrow/vanillabarrow/internal/balance"
 	_ "github.com/vanillabarrow/vanillabarrow/internal/caller"
 	_ "github.com/vanillabarrow/vanillabarrow/internal/dispatch"
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -215,6 +215,7 @@
 			Service:     q.Service,
 			Key:         q.Key,
 			Fingerprint: q.Fingerprint,
+			Version:     uint64(q.Version),
 		}))
 	if err != nil {
 		return nil, fmt.Errorf("ask %s about a key: %w", address, err)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -62,6 +62,7 @@
 		Service:     r.Msg.GetService(),
 		Key:         r.Msg.GetKey(),
 		Fingerprint: r.Msg.GetFingerprint(),
+		Version:     vanillabarrow.Version(r.Msg.GetVersion()),
 	}))), nil
 }
 
--- /dev/null
+++ b/internal/property/property.go
@@ -0,0 +1,38 @@
+// Package property runs property tests at a fixed seed, so that every run of
+// the tests gives the same verdict. Flags of the rapid library go before it.
+package property
+
+import (
+	"flag"
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	// seed is used unless the flag rapid.seed is given.
+	seed = 20261204
+	// Checks is the number of runs unless the flag rapid.checks is given.
+	Checks = 1000
+)
+
+// Check runs the property.
+func Check(t *testing.T, property func(t *rapid.T)) {
+	t.Helper()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{
+		"rapid.seed":       strconv.Itoa(seed),
+		"rapid.checks":     strconv.Itoa(Checks),
+		"rapid.nofailfile": "true",
+	} {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, property)
+}
--- a/request.go
+++ b/request.go
@@ -123,6 +123,8 @@
 	Key     string
 	// Fingerprint is a hash of the request.
 	Fingerprint uint64
+	// Version is the configuration version that makes the asker the home.
+	Version Version
 }
 
 // TargetSignal is what an attempt at a target tells about the target.
