Copy an answer before noting its attempts

Cause: answers stored at a gate are shared by the requests that get them, and the dispatcher wrote the number of attempts into them; the race detector saw it in the stateful test.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -91,13 +91,15 @@
 		return nil, d.refuse(f, vanillabarrow.AsRefusal(err))
 	}
 	d.Scope.Counter("finished").Inc(1)
-	answer.Attempts = f.attempts
-	if answer.Stream == nil {
+	// A gate may hold the answer for others, so it is not written to.
+	own := *answer
+	own.Attempts = f.attempts
+	if own.Stream == nil {
 		cancel()
-		return answer, nil
+		return &own, nil
 	}
-	answer.Stream = &cancelingStream{ReadCloser: answer.Stream, cancel: cancel}
-	return answer, nil
+	own.Stream = &cancelingStream{ReadCloser: own.Stream, cancel: cancel}
+	return &own, nil
 }
 
 func (d *Dispatcher) prepare(ctx context.Context, request *vanillabarrow.Request) (*flight, error) {
