--- a/config.go
+++ b/config.go
@@ -12,6 +12,10 @@
 const (
 	TopicConfig Topic = "config"
 	TopicVMs    Topic = "vms"
+	// TopicAccepted carries the configuration in force between nodes while
+	// the newest one is rejected, for nodes that start meanwhile. It is not
+	// published.
+	TopicAccepted Topic = "accepted"
 )
 
 // Value is one published value as the platform gives it.
--- a/internal/peer/plugin.go
+++ b/internal/peer/plugin.go
@@ -28,12 +28,6 @@
 				func(t *kernel.Traffic) vanillabarrow.KeyMemory { return NewKeyMemory(t) },
 			),
 			fx.Invoke(serve),
-			kernel.ProvideState(func(s *RelayServer) kernel.StateSource {
-				return kernel.StateSource{Name: "relayServer", State: func() any { return s.State() }}
-			}),
-			kernel.ProvideDrainer(func(s *RelayServer) kernel.Drainer {
-				return kernel.Drainer{Name: "relay", Drain: s.Drain}
-			}),
 		),
 	})
 }
--- a/internal/peer/relay_client.go
+++ b/internal/peer/relay_client.go
@@ -13,11 +13,10 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1"
 	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1/controlv1connect"
+	"github.com/vanillabarrow/vanillabarrow/internal/relay"
 )
 
 const (
-	// silenceLimit ends a stream on which nothing arrived.
-	silenceLimit = 3 * HeartbeatInterval
 	// pingAfter and pingTimeout find connections that went silent.
 	pingAfter   = 2 * time.Second
 	pingTimeout = time.Second
@@ -50,13 +49,13 @@
 // Close closes idle connections.
 func (c *RelayClient) Close() { c.client.CloseIdleConnections() }
 
-func (c *RelayClient) relay(address string) controlv1connect.RelayClient {
+func (c *RelayClient) dial(address string) controlv1connect.RelayClient {
 	return controlv1connect.NewRelayClient(c.client, "http://"+address)
 }
 
 // Peek implements vanillabarrow.Relay.
 func (c *RelayClient) Peek(ctx context.Context, address string) (map[vanillabarrow.Topic]vanillabarrow.Version, error) {
-	response, err := c.relay(address).Peek(ctx, connect.NewRequest(&controlv1.PeekRequest{}))
+	response, err := c.dial(address).Peek(ctx, connect.NewRequest(&controlv1.PeekRequest{}))
 	if err != nil {
 		return nil, err
 	}
@@ -69,7 +68,7 @@
 
 // Fetch implements vanillabarrow.Relay.
 func (c *RelayClient) Fetch(ctx context.Context, address string, held vanillabarrow.Held) (*vanillabarrow.Update, error) {
-	response, err := c.relay(address).Fetch(ctx, connect.NewRequest(&controlv1.FetchRequest{
+	response, err := c.dial(address).Fetch(ctx, connect.NewRequest(&controlv1.FetchRequest{
 		Node: c.vm,
 		Held: heldToProto(held),
 	}))
@@ -84,19 +83,19 @@
 func (c *RelayClient) Watch(ctx context.Context, address string, held []vanillabarrow.Held, announceOnly bool, receive func(vanillabarrow.Heartbeat) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
+	silence := time.AfterFunc(relay.SilenceLimit, func() { cancel(errSilent) })
 	defer silence.Stop()
 	request := &controlv1.WatchRequest{Node: c.vm, AnnounceOnly: announceOnly}
 	for _, h := range held {
 		request.Held = append(request.Held, heldToProto(h))
 	}
-	stream, err := c.relay(address).Watch(ctx, connect.NewRequest(request))
+	stream, err := c.dial(address).Watch(ctx, connect.NewRequest(request))
 	if err != nil {
 		return err
 	}
 	defer func() { _ = stream.Close() }()
 	for stream.Receive() {
-		silence.Reset(silenceLimit)
+		silence.Reset(relay.SilenceLimit)
 		if err := receive(heartbeatFromProto(stream.Msg())); err != nil {
 			return err
 		}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -20,8 +20,10 @@
 const (
 	// RevisionHeader carries the revision of a value.
 	RevisionHeader = "Revision"
-	// WatchWait is the wait that a watch asks the service for.
-	WatchWait = 30 * time.Second
+	// WatchWait is the wait that a watch asks the service for. It is short, so
+	// that a watch that hangs is told from one that waits; the readers are so
+	// few that this costs a small part of the service's capacity.
+	WatchWait = 2 * time.Second
 	// valuesPath precedes the key in the path of a value.
 	valuesPath = "/v1/values/"
 	// idleConnections is enough for one watch of each topic and a read.
--- a/internal/relay/bootstrap.go
+++ b/internal/relay/bootstrap.go
@@ -64,7 +64,7 @@
 		return
 	}
 	failed := false
-	for _, topic := range topics {
+	for _, topic := range published {
 		if err := b.follower.readSource(ctx, topic); err != nil {
 			failed = true
 			b.follower.Logger.Debug("first platform read failed", "topic", topic, "error", err)
--- a/internal/relay/plugin.go
+++ b/internal/relay/plugin.go
@@ -17,8 +17,14 @@
 	kernel.Register(kernel.Plugin{
 		Name: "relay",
 		Options: fx.Options(
-			fx.Provide(fromParts, func(f *Follower) vanillabarrow.Configuration { return f }),
+			fx.Provide(fromParts, NewServer, func(f *Follower) vanillabarrow.Configuration { return f }),
 			fx.Invoke(func(lc fx.Lifecycle, f *Follower) { lc.Append(fx.StartHook(f.Start)) }),
+			kernel.ProvideState(func(s *Server) kernel.StateSource {
+				return kernel.StateSource{Name: "relayServer", State: func() any { return s.State() }}
+			}),
+			kernel.ProvideDrainer(func(s *Server) kernel.Drainer {
+				return kernel.Drainer{Name: "relay", Drain: s.Drain}
+			}),
 		),
 	})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,7 +31,7 @@
 	platformTimeout = 5 * time.Second
 	// watchTimeout bounds a waiting watch, so that one that never returns is
 	// given up.
-	watchTimeout = 40 * time.Second
+	watchTimeout = 3 * time.Second
 	// retryBase and retryLimit bound the delay after a failure.
 	retryBase  = 50 * time.Millisecond
 	retryLimit = 2 * time.Second
@@ -43,8 +43,12 @@
 	announceGrace = 200 * time.Millisecond
 )
 
-// topics lists what is kept up to date.
-var topics = []vanillabarrow.Topic{vanillabarrow.TopicConfig, vanillabarrow.TopicVMs}
+// published lists what is read from the platform, and topics what passes
+// between nodes.
+var (
+	published = []vanillabarrow.Topic{vanillabarrow.TopicConfig, vanillabarrow.TopicVMs}
+	topics    = []vanillabarrow.Topic{vanillabarrow.TopicConfig, vanillabarrow.TopicVMs, vanillabarrow.TopicAccepted}
+)
 
 // Config holds what a follower is made of.
 type Config struct {
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -129,7 +129,7 @@
 // startSpread is the time over which the first platform reads of a fleet that
 // starts at once are spread, so that they stay within the budget.
 func (f *Follower) startSpread() time.Duration {
-	reads := float64(f.FleetSize * len(topics))
+	reads := float64(f.FleetSize * len(published))
 	return time.Duration(reads / (float64(f.ReadBudget) * othersShare) * float64(time.Second))
 }
 
--- a/internal/rollout/patch.go
+++ b/internal/rollout/patch.go
@@ -64,8 +64,13 @@
 
 // HeldOf returns what the table holds of a topic.
 func (t *Table) HeldOf(topic vanillabarrow.Topic) vanillabarrow.Held {
-	b := t.Held(topic)
 	held := vanillabarrow.Held{Topic: topic, Parts: map[string]string{}}
+	if topic == vanillabarrow.TopicAccepted {
+		// Accepted versions are sent whole, which happens at starts only.
+		held.Version = t.HeldVersion(topic)
+		return held
+	}
+	b := t.Held(topic)
 	if b == nil {
 		return held
 	}
@@ -82,7 +87,7 @@
 // holds in a version known here are sent against that version.
 func (t *Table) UpdateFor(held vanillabarrow.Held) (*vanillabarrow.Update, error) {
 	t.mu.Lock()
-	b := t.held[held.Topic]
+	b := t.bundle(held.Topic)
 	var blobs map[string][]byte
 	if h := t.history[held.Topic]; h != nil {
 		blobs = make(map[string][]byte, len(held.Parts)+1)
@@ -103,7 +108,7 @@
 }
 
 func (t *Table) makeUpdate(b *vanillabarrow.Bundle, held vanillabarrow.Held, blobs map[string][]byte) (*vanillabarrow.Update, error) {
-	u := &vanillabarrow.Update{Topic: b.Topic, Version: b.Version}
+	u := &vanillabarrow.Update{Topic: held.Topic, Version: b.Version}
 	var err error
 	root := vanillabarrow.Part{Digest: RootDigest(b), Bytes: b.Root}
 	if u.Root, err = t.makePatch(root, held.RootDigest, blobs); err != nil {
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -67,6 +67,8 @@
 type Table struct {
 	mu       *kernel.Mutex
 	compiler *inventory.Compiler
+	// accepted is the configuration in force as it was published.
+	accepted *vanillabarrow.Bundle
 	held     map[vanillabarrow.Topic]*vanillabarrow.Bundle
 	history  map[vanillabarrow.Topic]*history
 	changed  chan struct{}
@@ -95,15 +97,29 @@
 // VMList returns the newest VM list, nil before the first.
 func (t *Table) VMList() *vanillabarrow.VMList { return t.vms.Load() }
 
-// Held returns the newest bundle of the topic, nil before the first.
+// Held returns the newest bundle of the topic, nil before the first. There is
+// one of TopicAccepted only while the newest configuration is rejected.
 func (t *Table) Held(topic vanillabarrow.Topic) *vanillabarrow.Bundle {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.held[topic]
+	return t.bundle(topic)
+}
+
+func (t *Table) bundle(topic vanillabarrow.Topic) *vanillabarrow.Bundle {
+	if topic != vanillabarrow.TopicAccepted {
+		return t.held[topic]
+	}
+	if t.status.Rejection == nil {
+		return nil
+	}
+	return t.accepted
 }
 
 // HeldVersion returns the newest version of the topic, 0 before the first.
 func (t *Table) HeldVersion(topic vanillabarrow.Topic) vanillabarrow.Version {
+	if topic == vanillabarrow.TopicAccepted {
+		return t.Status().InForce
+	}
 	if b := t.Held(topic); b != nil {
 		return b.Version
 	}
@@ -144,7 +160,7 @@
 func (t *Table) Offer(b *vanillabarrow.Bundle, now time.Time) (Outcome, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if held := t.held[b.Topic]; held != nil && b.Version <= held.Version {
+	if b.Version <= t.newest(b.Topic) {
 		t.status.Stale++
 		return OutcomeStale, nil
 	}
@@ -152,7 +168,9 @@
 		t.status.Incomplete++
 		return OutcomeIncomplete, err
 	}
-	t.keep(b)
+	if b.Topic != vanillabarrow.TopicAccepted {
+		t.keep(b)
+	}
 	err := t.apply(b, now)
 	t.status.ConfirmedAt = now
 	close(t.changed)
@@ -163,6 +181,17 @@
 	return OutcomeApplied, nil
 }
 
+// newest returns the version above which a bundle of the topic is news.
+func (t *Table) newest(topic vanillabarrow.Topic) vanillabarrow.Version {
+	if topic == vanillabarrow.TopicAccepted {
+		return t.status.InForce
+	}
+	if held := t.held[topic]; held != nil {
+		return held.Version
+	}
+	return 0
+}
+
 func (t *Table) keep(b *vanillabarrow.Bundle) {
 	t.held[b.Topic] = b
 	if t.history[b.Topic] == nil {
@@ -181,11 +210,17 @@
 		return nil
 	}
 	snapshot, err := t.compiler.Compile(b)
+	if err != nil && b.Topic == vanillabarrow.TopicAccepted {
+		return err
+	}
 	if err != nil {
 		t.status.Rejection = &Rejection{Version: b.Version, Reason: err.Error(), At: now}
 		return err
 	}
-	t.status.Rejection = nil
+	if b.Topic != vanillabarrow.TopicAccepted {
+		t.status.Rejection = nil
+	}
+	t.accepted = b
 	t.status.InForce = b.Version
 	t.status.AppliedAt = now
 	t.snapshot.Store(snapshot)
@@ -195,7 +230,7 @@
 // checkWhole checks that the parts are those that the root names. Parts taken
 // over from the held bundle have been checked with it.
 func checkWhole(b, held *vanillabarrow.Bundle) error {
-	if b.Topic != vanillabarrow.TopicConfig || !inventory.IsManifest(b.Root) {
+	if b.Topic == vanillabarrow.TopicVMs || !inventory.IsManifest(b.Root) {
 		if len(b.Parts) > 0 {
 			return fmt.Errorf("version %d of %s has parts without a manifest", b.Version, b.Topic)
 		}
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -40,7 +40,7 @@
 		"not YAML":                  {[]*vanillabarrow.Bundle{single(1, []byte("\x00"))}, OutcomeRejected, 0, true},
 		"manifest that is no match": {[]*vanillabarrow.Bundle{single(1, []byte("kind: manifest\nschema: 9\n"))}, OutcomeRejected, 0, true},
 		"manifest without its parts": {[]*vanillabarrow.Bundle{single(1, []byte(
-			"kind: manifest\nschema: 1\nparts: [{name: a, digest: " + inventory.Digest(good) + "}]\n"))}, OutcomeIncomplete, 0, false},
+			"kind: manifest\nschema: 1\nparts: [{name: a, digest: "+inventory.Digest(good)+"}]\n"))}, OutcomeIncomplete, 0, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -67,6 +67,27 @@
 	require.True(t, SameBundle(first.Held(vanillabarrow.TopicConfig), b))
 }
 
+func TestAcceptedVersionReachesStarter(t *testing.T) {
+	first, starter := New(), New()
+	for v, bad := range []bool{false, true} {
+		_, _ = first.Offer(single(vanillabarrow.Version(v+1), document("a", 1, bad)), time.Now())
+	}
+	for _, topic := range []vanillabarrow.Topic{vanillabarrow.TopicConfig, vanillabarrow.TopicAccepted} {
+		update, err := first.UpdateFor(starter.HeldOf(topic))
+		require.NoError(t, err)
+		b, err := starter.Assemble(update)
+		require.NoError(t, err)
+		_, _ = starter.Offer(b, time.Now())
+	}
+	status := starter.Status()
+	require.Equal(t, vanillabarrow.Version(2), status.Held)
+	require.Equal(t, vanillabarrow.Version(1), status.InForce)
+	require.Equal(t, vanillabarrow.Version(2), status.Rejection.Version)
+	outcome, _ := starter.Offer(single(3, document("a", 2, false)), time.Now())
+	require.Equal(t, OutcomeApplied, outcome)
+	require.Nil(t, starter.Held(vanillabarrow.TopicAccepted))
+}
+
 func TestAssembleRefusesDamage(t *testing.T) {
 	sender := New()
 	_, _ = sender.Offer(single(1, document("a", 2, false)), time.Now())
