Hold new work after a pause, climb slower, test gate and limiter

Cause: a process that was stopped and goes on believed its old configuration until the next message; and the limit climbed by a slot for each round of answers, faster than a target that warms by one slot in ten answers. Change: a watcher notices that it ran late, the gate holds new work until a peer was asked for a newer version, 500 ms at most; a round adds half a slot. Stateful test of the limiter against a plain count: no fault found.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -35,6 +35,10 @@
 	leaving  atomic.Bool
 	awake    atomic.Pointer[chan struct{}]
 	running  atomic.Int64
+	start    time.Time
+	// beat is when the watcher last ran, in nanoseconds since the start, 0
+	// without a watcher.
+	beat atomic.Int64
 }
 
 // Config holds what a gate is made of.
@@ -60,6 +64,7 @@
 		keys:     idempotency.New(now),
 		homes:    idempotency.NewHomes(),
 		scope:    cfg.Scope.SubScope("gate"),
+		start:    now,
 	}
 }
 
@@ -158,6 +163,7 @@
 
 // check refuses what must not even wait here.
 func (g *Gate) check(ctx context.Context, attempt *vanillabarrow.Attempt) error {
+	g.suspendIfPaused()
 	if err := g.waitAwake(ctx); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,266 @@
+package gate
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+)
+
+const (
+	slots   = 4
+	service = "returns"
+	target  = "target"
+)
+
+// fixed is a configuration that tests replace.
+type fixed struct {
+	snapshot atomic.Pointer[vanillabarrow.Snapshot]
+}
+
+func (f *fixed) Snapshot() *vanillabarrow.Snapshot { return f.snapshot.Load() }
+
+func snapshot(out bool) *vanillabarrow.Snapshot {
+	return &vanillabarrow.Snapshot{
+		Version:  1,
+		VMs:      map[string]*vanillabarrow.VM{"vm": {Name: "vm"}},
+		Targets:  map[string]*vanillabarrow.Target{target: {Name: target, VM: "vm", Service: service, Slots: slots, Out: out}},
+		Services: map[string]*vanillabarrow.Service{service: {Name: service, Targets: []string{target}, NotRunStatuses: []int{503}}},
+	}
+}
+
+// scripted answers after a time, with a status or a refusal.
+type scripted struct {
+	takes   time.Duration
+	status  int
+	refusal *vanillabarrow.Refusal
+	runs    atomic.Int64
+	peak    atomic.Int64
+	open    atomic.Int64
+}
+
+func (s *scripted) Execute(ctx context.Context, _ *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	s.runs.Add(1)
+	s.peak.Store(max(s.peak.Load(), s.open.Add(1)))
+	defer s.open.Add(-1)
+	timer := time.NewTimer(s.takes)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return nil, vanillabarrow.MayHaveRun(vanillabarrow.ReasonDeadline, "")
+	}
+	if s.refusal != nil {
+		return nil, s.refusal
+	}
+	return &vanillabarrow.Answer{Status: s.status}, nil
+}
+
+func newGate(e vanillabarrow.Executor) (*Gate, *fixed) {
+	cfg := &fixed{}
+	cfg.snapshot.Store(snapshot(false))
+	g := New(Config{Target: target, Incarnation: "one", Configuration: cfg, Executor: e, Scope: tally.NoopScope})
+	g.Configure(cfg.Snapshot(), []string{target}, false)
+	return g, cfg
+}
+
+func attempt(g *Gate, id string) *vanillabarrow.Attempt {
+	return &vanillabarrow.Attempt{
+		ID: id, Target: &vanillabarrow.Target{Name: target}, Token: g.Token(), Deadline: time.Now().Add(time.Second),
+		Request: &vanillabarrow.Request{Service: service, Method: "POST"},
+	}
+}
+
+func TestHandleRefuses(t *testing.T) {
+	tests := map[string]struct {
+		executor *scripted
+		prepare  func(g *Gate, cfg *fixed, a *vanillabarrow.Attempt)
+		verdict  vanillabarrow.Verdict
+		reason   vanillabarrow.Reason
+		runs     int64
+	}{
+		"draining": {
+			prepare: func(g *Gate, _ *fixed, _ *vanillabarrow.Attempt) { g.Drain() },
+			verdict: vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonDraining,
+		},
+		"leaving by the list": {
+			prepare: func(g *Gate, cfg *fixed, _ *vanillabarrow.Attempt) { g.Configure(cfg.Snapshot(), nil, true) },
+			verdict: vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonDraining,
+		},
+		"taken out": {
+			prepare: func(_ *Gate, cfg *fixed, _ *vanillabarrow.Attempt) { cfg.snapshot.Store(snapshot(true)) },
+			verdict: vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonTargetOut,
+		},
+		"no configuration": {
+			prepare: func(_ *Gate, cfg *fixed, _ *vanillabarrow.Attempt) { cfg.snapshot.Store(nil) },
+			verdict: vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonNoConfig,
+		},
+		"another target": {
+			prepare: func(_ *Gate, _ *fixed, a *vanillabarrow.Attempt) { a.Target.Name = "other" },
+			verdict: vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonWrongTarget,
+		},
+		"no token": {
+			prepare: func(_ *Gate, _ *fixed, a *vanillabarrow.Attempt) { a.Token = vanillabarrow.Token{} },
+			verdict: vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonStaleToken,
+		},
+		"deadline passed": {
+			prepare: func(_ *Gate, _ *fixed, a *vanillabarrow.Attempt) { a.Deadline = time.Now() },
+			verdict: vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonDeadline,
+		},
+		"deadline passes at the target": {
+			executor: &scripted{takes: time.Minute},
+			prepare:  func(*Gate, *fixed, *vanillabarrow.Attempt) {},
+			verdict:  vanillabarrow.VerdictMayHaveRun, reason: vanillabarrow.ReasonDeadline, runs: 1,
+		},
+		"target sheds by agreement": {
+			executor: &scripted{status: 503},
+			prepare:  func(*Gate, *fixed, *vanillabarrow.Attempt) {},
+			verdict:  vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonOverloaded, runs: 1,
+		},
+		"key with another home": {
+			prepare: func(g *Gate, cfg *fixed, a *vanillabarrow.Attempt) {
+				s := snapshot(false)
+				s.Services[service].KeyWindow = time.Minute
+				cfg.snapshot.Store(s)
+				g.Configure(s, []string{"other"}, false)
+				a.Request.Key = "key"
+			},
+			verdict: vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonWrongTarget,
+		},
+		"opaque key at a gate that just started": {
+			prepare: func(g *Gate, cfg *fixed, a *vanillabarrow.Attempt) {
+				s := snapshot(false)
+				s.Services[service].KeyWindow = time.Minute
+				cfg.snapshot.Store(s)
+				a.Request.Key = "key"
+			},
+			verdict: vanillabarrow.VerdictMayHaveRun, reason: vanillabarrow.ReasonKeyUnknown,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := tt.executor
+				if e == nil {
+					e = &scripted{status: 200}
+				}
+				g, cfg := newGate(e)
+				a := attempt(g, "a")
+				tt.prepare(g, cfg, a)
+				_, err := g.Handle(t.Context(), a)
+				refusal := vanillabarrow.AsRefusal(err)
+				require.Equal(t, tt.verdict, refusal.Verdict)
+				require.Equal(t, tt.reason, refusal.Reason)
+				require.Equal(t, tt.runs, e.runs.Load())
+				require.Zero(t, g.Running())
+			})
+		})
+	}
+}
+
+// client sends attempts one after the other.
+type client struct {
+	gate *Gate
+	done chan int
+}
+
+func (c *client) run(ctx context.Context, n int) {
+	finished := 0
+	for range n {
+		if _, err := c.gate.Handle(ctx, attempt(c.gate, uuid.NewString())); err == nil {
+			finished++
+		}
+	}
+	c.done <- finished
+}
+
+func TestTokenAgesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &scripted{status: 200}
+		g, _ := newGate(e)
+		a := attempt(g, "a")
+		time.Sleep(3 * time.Minute)
+		a.Deadline = time.Now().Add(time.Second)
+		_, err := g.Handle(t.Context(), a)
+		require.Equal(t, vanillabarrow.ReasonStaleToken, vanillabarrow.AsRefusal(err).Reason)
+		require.Equal(t, vanillabarrow.AttemptUnknown, g.Ask(a).State)
+	})
+}
+
+func TestOnceOutlivesItsConnection(t *testing.T) {
+	tests := map[string]struct {
+		idempotent bool
+		want       vanillabarrow.AttemptState
+	}{
+		"once":       {false, vanillabarrow.AttemptFinished},
+		"idempotent": {true, vanillabarrow.AttemptFenced},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, _ := newGate(&scripted{status: 200, takes: 500 * time.Millisecond})
+				a := attempt(g, "a")
+				a.Request.Idempotent = tt.idempotent
+				ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+				defer cancel()
+				_, _ = g.Handle(ctx, a)
+				require.Equal(t, tt.want, g.Ask(a).State)
+			})
+		})
+	}
+}
+
+// checker counts the checks after pauses.
+type checker struct{ n int }
+
+func (c *checker) CheckNewest(context.Context, time.Duration) { c.n++ }
+
+func TestPauseHoldsNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &scripted{status: 200}
+		g, _ := newGate(e)
+		check := &checker{}
+		w := NewWatcher(g, check, slog.New(slog.DiscardHandler))
+		for range 20 {
+			time.Sleep(beatInterval)
+			w.Beat(t.Context())
+		}
+		require.Zero(t, check.n)
+		// The watcher does not run for longer than the limit, as when the
+		// process was stopped.
+		time.Sleep(2 * pauseLimit)
+		c := &client{gate: g, done: make(chan int, 1)}
+		go c.run(t.Context(), 1)
+		synctest.Wait()
+		require.Zero(t, e.runs.Load())
+		w.Beat(t.Context())
+		require.Equal(t, 1, check.n)
+		require.Equal(t, 1, <-c.done)
+	})
+}
+
+func TestSlowStartBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &scripted{status: 200, takes: 10 * time.Millisecond}
+		g, _ := newGate(e)
+		clients := make([]*client, 50)
+		for i := range clients {
+			clients[i] = &client{gate: g, done: make(chan int, 1)}
+			go clients[i].run(t.Context(), 1)
+		}
+		finished := 0
+		for _, c := range clients {
+			finished += <-c.done
+		}
+		require.LessOrEqual(t, e.peak.Load(), int64(2), "the limit starts at 2 at most and three answers add less than one")
+		require.Equal(t, int64(finished), e.runs.Load())
+	})
+}
--- a/internal/gate/pause.go
+++ b/internal/gate/pause.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
@@ -9,6 +10,71 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/idempotency"
 )
 
+const (
+	// beatInterval is the period of the watcher.
+	beatInterval = 100 * time.Millisecond
+	// pauseLimit is how late the watcher may be before the node counts as
+	// having been paused.
+	pauseLimit = time.Second
+	// checkTimeout bounds the check for a newer configuration after a pause.
+	checkTimeout = 500 * time.Millisecond
+)
+
+// Checker finds out whether a newer configuration exists.
+type Checker interface {
+	// CheckNewest returns when the newest reachable version is in force, after
+	// the timeout at the latest.
+	CheckNewest(ctx context.Context, timeout time.Duration)
+}
+
+// Watcher notices that the process was paused. The gate then takes no new work
+// until the configuration has been checked.
+type Watcher struct {
+	gate    *Gate
+	checker Checker
+	wall    time.Time
+	logger  *slog.Logger
+}
+
+// NewWatcher returns a watcher; Beat has to be called at short intervals.
+func NewWatcher(g *Gate, checker Checker, logger *slog.Logger) *Watcher {
+	w := &Watcher{gate: g, checker: checker, logger: logger}
+	w.note()
+	return w
+}
+
+// note records that the watcher runs. The wall clock also runs while a machine
+// is suspended, when the monotonic clock stands still.
+func (w *Watcher) note() {
+	w.wall = time.Now().Round(0)
+	w.gate.beat.Store(int64(max(1, time.Since(w.gate.start))))
+}
+
+// Beat checks for a pause since the last beat.
+func (w *Watcher) Beat(ctx context.Context) {
+	asleep := time.Now().Round(0).Sub(w.wall)
+	if !w.gate.suspendIfPaused() && asleep < pauseLimit+beatInterval {
+		w.note()
+		return
+	}
+	w.gate.Suspend()
+	w.logger.Warn("node was paused", "for", asleep)
+	w.checker.CheckNewest(ctx, checkTimeout)
+	w.note()
+	w.gate.Resume()
+}
+
+// suspendIfPaused suspends the gate when the watcher is late. Requests that
+// arrive before the watcher runs again notice the pause by themselves.
+func (g *Gate) suspendIfPaused() bool {
+	beat := g.beat.Load()
+	if beat == 0 || time.Since(g.start)-time.Duration(beat) < pauseLimit {
+		return false
+	}
+	g.Suspend()
+	return true
+}
+
 // Suspend makes new work wait until Resume, while a node that was paused
 // checks its configuration.
 func (g *Gate) Suspend() {
--- a/internal/gate/plugin.go
+++ b/internal/gate/plugin.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"log/slog"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
@@ -10,6 +12,7 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/dispatch"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/membership"
+	"github.com/vanillabarrow/vanillabarrow/internal/relay"
 	"github.com/vanillabarrow/vanillabarrow/internal/rollout"
 )
 
@@ -18,7 +21,7 @@
 		Name: "gate",
 		Options: fx.Options(
 			fx.Provide(fromParts, func(g *Gate) vanillabarrow.Gate { return g }),
-			fx.Invoke(startConfigure),
+			fx.Invoke(startConfigure, startWatcher),
 			kernel.ProvideState(func(g *Gate) kernel.StateSource {
 				return kernel.StateSource{Name: "gate", State: func() any { return g.State() }}
 			}),
@@ -52,6 +55,13 @@
 	lc.Append(fx.StartHook(func() error { return pool.SubmitWaiting("gate.configure", c.loop) }))
 }
 
+func startWatcher(lc fx.Lifecycle, pool *kernel.Pool, g *Gate, follower *relay.Follower, logger *slog.Logger) {
+	w := NewWatcher(g, follower, logger)
+	lc.Append(fx.StartHook(func() {
+		pool.Every(func() time.Duration { return beatInterval }, true, "gate.watcher", w.Beat)
+	}))
+}
+
 func (c *configurer) loop(ctx context.Context) {
 	for {
 		changed := c.table.Changed()
--- a/internal/limit/adaptive.go
+++ b/internal/limit/adaptive.go
@@ -15,6 +15,9 @@
 	startLimit = 2
 	// queuePerSlot bounds the waiting requests.
 	queuePerSlot = 2
+	// climbStep is the part of a slot that a round of timely answers, one for
+	// each slot, adds to the limit.
+	climbStep = 0.5
 	// latencyFactor is how far the smoothed latency may rise above its floor
 	// before the limit falls.
 	latencyFactor = 4
@@ -160,7 +163,7 @@
 	}
 	// The limit climbs only while it is in use.
 	if 2*a.inFlight >= a.current() {
-		a.limit = min(float64(a.slots), a.limit+1/a.limit)
+		a.limit = min(float64(a.slots), a.limit+climbStep/a.limit)
 	}
 }
 
--- /dev/null
+++ b/internal/limit/adaptive_test.go
@@ -0,0 +1,161 @@
+package limit
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/property"
+)
+
+const slots = 12
+
+func far() time.Time { return time.Now().Add(time.Hour) }
+
+// warm lets the limit climb to all slots.
+func warm(t *testing.T, a *Adaptive) {
+	t.Helper()
+	for a.Load().Limit < slots {
+		n := a.Load().Limit
+		for range n {
+			require.NoError(t, a.Acquire(t.Context(), far()))
+		}
+		for range n {
+			a.Release(vanillabarrow.SignalOK, 10*time.Millisecond)
+		}
+	}
+}
+
+func TestSignals(t *testing.T) {
+	tests := map[string]struct {
+		signal  vanillabarrow.TargetSignal
+		latency time.Duration
+		times   int
+		low     int
+		high    int
+	}{
+		"timely answers keep the limit":     {vanillabarrow.SignalOK, 10 * time.Millisecond, 50, slots, slots},
+		"one refusal is a cold target":      {vanillabarrow.SignalRefused, time.Millisecond, 1, 2, 2},
+		"one timeout halves":                {vanillabarrow.SignalTimeout, time.Second, 1, slots / 2, slots / 2},
+		"a canceled request tells nothing":  {vanillabarrow.SignalNeutral, time.Second, 50, slots, slots},
+		"latency far above its floor":       {vanillabarrow.SignalOK, time.Second, 30, 1, slots / 2},
+		"latency a little above its floor":  {vanillabarrow.SignalOK, 20 * time.Millisecond, 50, slots, slots},
+		"the limit never falls below one":   {vanillabarrow.SignalTimeout, time.Second, 100, 1, 2},
+		"refusals keep it at its beginning": {vanillabarrow.SignalRefused, time.Millisecond, 100, 1, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := New(slots)
+			require.Equal(t, 2, a.Load().Limit)
+			warm(t, a)
+			for range tt.times {
+				require.NoError(t, a.Acquire(t.Context(), far()))
+				a.Release(tt.signal, tt.latency)
+			}
+			require.GreaterOrEqual(t, a.Load().Limit, tt.low)
+			require.LessOrEqual(t, a.Load().Limit, tt.high)
+		})
+	}
+}
+
+func TestQueue(t *testing.T) {
+	tests := map[string]struct {
+		deadline time.Duration
+		cancel   time.Duration
+		reason   vanillabarrow.Reason
+		after    time.Duration
+	}{
+		"deadline passes in the queue": {50 * time.Millisecond, time.Hour, vanillabarrow.ReasonDeadline, 50 * time.Millisecond},
+		"caller goes away":             {time.Hour, 30 * time.Millisecond, vanillabarrow.ReasonCanceled, 30 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := New(1)
+				require.NoError(t, a.Acquire(t.Context(), far()))
+				ctx, cancel := context.WithTimeout(t.Context(), tt.cancel)
+				defer cancel()
+				start := time.Now()
+				refusal := vanillabarrow.AsRefusal(a.Acquire(ctx, time.Now().Add(tt.deadline)))
+				require.Equal(t, vanillabarrow.VerdictNotRun, refusal.Verdict)
+				require.Equal(t, tt.reason, refusal.Reason)
+				require.Equal(t, tt.after, time.Since(start))
+				require.Equal(t, vanillabarrow.Load{InFlight: 1, Limit: 1}, a.Load())
+			})
+		})
+	}
+}
+
+func TestQueueRefusesWhatCanNotBeInTime(t *testing.T) {
+	a := New(1)
+	require.NoError(t, a.Acquire(t.Context(), far()))
+	a.Release(vanillabarrow.SignalOK, 100*time.Millisecond)
+	require.NoError(t, a.Acquire(t.Context(), far()))
+	refusal := vanillabarrow.AsRefusal(a.Acquire(t.Context(), time.Now().Add(50*time.Millisecond)))
+	require.Equal(t, vanillabarrow.ReasonOverloaded, refusal.Reason)
+}
+
+// machine compares the limiter with a plain count.
+type machine struct {
+	limiter  *Adaptive
+	inFlight int
+}
+
+// Acquire takes a slot or is refused.
+func (m *machine) Acquire(t *rapid.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	before := m.limiter.Load()
+	err := m.limiter.Acquire(ctx, far())
+	require.Equal(t, before.InFlight < before.Limit, err == nil)
+	if err == nil {
+		m.inFlight++
+	}
+}
+
+// Release gives one back with any signal.
+func (m *machine) Release(t *rapid.T) {
+	if m.inFlight == 0 {
+		t.Skip("nothing is in flight")
+	}
+	m.inFlight--
+	m.limiter.Release(
+		vanillabarrow.TargetSignal(rapid.IntRange(0, 3).Draw(t, "signal")),
+		time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms"))*time.Millisecond)
+}
+
+// SetSlots changes the bound.
+func (m *machine) SetSlots(t *rapid.T) {
+	m.limiter.SetSlots(rapid.IntRange(1, 20).Draw(t, "slots"))
+}
+
+// Check compares.
+func (m *machine) Check(t *rapid.T) {
+	load := m.limiter.Load()
+	require.Equal(t, m.inFlight, load.InFlight)
+	require.Zero(t, load.Queued)
+	require.GreaterOrEqual(t, load.Limit, 1)
+	require.LessOrEqual(t, load.Limit, m.limiter.slots)
+}
+
+func TestLimiterMachine(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		t.Repeat(rapid.StateMachineActions(&machine{limiter: New(slots)}))
+	})
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	a := New(slots)
+	ctx, deadline := context.Background(), far()
+	b.ReportAllocs()
+	for b.Loop() {
+		if a.Acquire(ctx, deadline) == nil {
+			a.Release(vanillabarrow.SignalOK, time.Millisecond)
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/bench_test.go
@@ -0,0 +1,61 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/standin"
+)
+
+// BenchmarkHops compares a request to a target itself with one through entry
+// and gate, in one run. The targets answer at once, so the difference is what
+// the two nodes add.
+func BenchmarkHops(b *testing.B) {
+	ctx, cancel := context.WithTimeout(context.Background(), startBound)
+	defer cancel()
+	d := standin.Cenovka()
+	d.ServiceTime = 0
+	m, err := Start(ctx, d, slog.New(slog.DiscardHandler))
+	defer func() { require.NoError(b, m.Stop(ctx)) }()
+	require.NoError(b, err)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	post := func(address string) {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+d.Services[0].PathPrefix, bytes.NewReader(make([]byte, 512)))
+		require.NoError(b, err)
+		response, err := client.Do(request)
+		require.NoError(b, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(b, err)
+		_ = response.Body.Close()
+		require.Equal(b, http.StatusOK, response.StatusCode)
+	}
+	// The limits of cold targets climb first.
+	for range 2000 {
+		post(m.Members[0].Place.CallerAddress)
+	}
+	addresses := map[string]string{
+		"direct": m.Members[0].Place.TargetAddress,
+		"mesh":   m.Members[0].Place.CallerAddress,
+	}
+	for name, address := range addresses {
+		b.Run(name, func(b *testing.B) {
+			h := hdrhistogram.New(1, time.Minute.Nanoseconds(), 3)
+			b.ReportAllocs()
+			for b.Loop() {
+				start := time.Now()
+				post(address)
+				_ = h.RecordValue(time.Since(start).Nanoseconds())
+			}
+			b.ReportMetric(float64(h.ValueAtQuantile(50))/1e3, "p50-µs")
+			b.ReportMetric(float64(h.ValueAtQuantile(99))/1e3, "p99-µs")
+		})
+	}
+}
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -205,6 +205,7 @@
 	members  []*member
 	mu       sync.Mutex
 	cuts     map[[2]string]int
+	configs  int
 }
 
 func newFleet(dataCentres, nodes int) *fleet {
@@ -225,7 +226,11 @@
 	if bad {
 		text += "routes: [{name: a, pathPrefix: /a, service: absent}]\n"
 	}
-	return f.platform.publish(string(vanillabarrow.TopicConfig), []byte(text+fmt.Sprintf("# %d\n", len(f.platform.values["config"]))))
+	f.mu.Lock()
+	f.configs++
+	text += fmt.Sprintf("# %d\n", f.configs)
+	f.mu.Unlock()
+	return f.platform.publish(string(vanillabarrow.TopicConfig), []byte(text))
 }
 
 func (f *fleet) publishVMs() {
