--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -85,6 +85,17 @@
 	return p.revision
 }
 
+// PublishOnce sets a value unless the key has one. Parts are named by their
+// digest and never change.
+func (p *Platform) PublishOnce(key string, b []byte) {
+	p.mu.Lock()
+	_, ok := p.values[key]
+	p.mu.Unlock()
+	if !ok {
+		p.Publish(key, b)
+	}
+}
+
 // SetFaults replaces the faults.
 func (p *Platform) SetFaults(f Faults) {
 	p.mu.Lock()
--- a/pkg/cmd/node/run/run.go
+++ b/pkg/cmd/node/run/run.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"os"
+	"runtime/debug"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -15,6 +17,10 @@
 	"github.com/vanillabarrow/vanillabarrow/pkg/iostreams"
 )
 
+// gcPercent trades a little processor time for a heap that stays small beside
+// the target.
+const gcPercent = 40
+
 // Options are the inputs of the command.
 type Options struct {
 	IO       *iostreams.IOStreams
@@ -127,6 +133,9 @@
 		_, err := fmt.Fprintln(opts.IO.Out, opts.SettingsFile+": ok")
 		return err
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	logger := NewLogger(opts.IO.ErrOut, s.Log.Level).With("vm", s.Node.VM)
 	listeners, err := node.Listen(s)
 	if err != nil {
