--- /dev/null
+++ b/internal/message/message_test.go
@@ -0,0 +1,88 @@
+package message
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestEndToEnd(t *testing.T) {
+	in := http.Header{
+		"Accept": {"a", "b"}, "Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"1"},
+		"Transfer-Encoding": {"chunked"}, "Upgrade": {"x"}, "Vb-Verdict": {"finished"}, "Expect": {"100-continue"},
+		"Idempotency-Key": {"k"},
+	}
+	require.Equal(t, http.Header{"Accept": {"a", "b"}, "Idempotency-Key": {"k"}}, EndToEnd(in))
+}
+
+func TestSplit(t *testing.T) {
+	tests := map[string]struct {
+		body  string
+		hold  int
+		start string
+		rest  string
+	}{
+		"empty":       {"", 4, "", ""},
+		"fits":        {"abcd", 4, "abcd", ""},
+		"larger":      {"abcdefgh", 4, "abcde", "fgh"},
+		"holds none":  {"ab", 0, "a", "b"},
+		"one too big": {"abcde", 4, "abcde", ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			start, stream, err := Split(strings.NewReader(tt.body), tt.hold)
+			require.NoError(t, err)
+			require.Equal(t, tt.start, string(start))
+			all, err := io.ReadAll(Join(start, stream))
+			require.NoError(t, err)
+			require.Equal(t, tt.body, string(all))
+			require.Equal(t, len(tt.body) > tt.hold, stream != nil)
+		})
+	}
+	_, _, err := Split(iotest.ErrReader(errors.New("broken")), 4)
+	require.ErrorContains(t, err, "broken")
+}
+
+func TestStream(t *testing.T) {
+	s := NewStream(strings.NewReader("abcdef"), 4)
+	require.True(t, s.Untouched())
+	_, err := io.ReadAll(s)
+	require.ErrorIs(t, err, ErrTooLarge)
+	require.False(t, s.Untouched())
+}
+
+func TestContext(t *testing.T) {
+	c := Context{Depth: 3, Retries: 1, Budget: 1500 * time.Millisecond}
+	got, err := ParseContext(c.String())
+	require.NoError(t, err)
+	require.Equal(t, c, got)
+	tests := map[string]string{
+		"no value":  "depth",
+		"no number": "depth=x",
+		"negative":  "depth=-1",
+		"empty":     "",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := ParseContext(text)
+			require.ErrorContains(t, err, ContextHeader)
+		})
+	}
+}
+
+func FuzzParseContext(f *testing.F) {
+	f.Add("depth=1;retries=2;budget=3")
+	f.Fuzz(func(t *testing.T, s string) {
+		c, err := ParseContext(s)
+		if err == nil {
+			require.GreaterOrEqual(t, c.Depth, 0)
+			require.GreaterOrEqual(t, c.Retries, 0)
+		}
+	})
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const valid = `node: {vm: vm-1, dataCentre: a, target: t1}
+listen: {caller: "127.0.0.1:1", peer: "127.0.0.1:2", operator: "127.0.0.1:3"}
+platform: {url: "http://127.0.0.1:4"}
+seeds: ["127.0.0.1:5"]
+`
+
+func TestParseAndCheck(t *testing.T) {
+	tests := map[string]struct {
+		from, to string
+		want     string
+	}{
+		"valid":           {"x", "x", ""},
+		"unknown field":   {"node:", "speed: 1\nnode:", "line 1: field speed not found"},
+		"wrong type":      {"seeds:", "drainTimeout: [1]\nseeds:", "line 4: cannot unmarshal"},
+		"no VM":           {"vm: vm-1, ", "", "node.vm: is required"},
+		"host name":       {"127.0.0.1:2", "localhost:2", "listen.peer"},
+		"bad seed":        {"127.0.0.1:5", "five", "seeds[0]"},
+		"no http":         {"http://", "ftp://", "platform.url"},
+		"unknown balance": {"seeds:", "balancer: best\nseeds:", `"best" is not one of twoChoices`},
+		"unknown level":   {"seeds:", "log: {level: loud}\nseeds:", `"loud" is not one of debug`},
+		"zero budget":     {"4\"}", "4\", readBudget: 0}", "platform.readBudget: must be above zero"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, err := Parse("node.yaml", []byte(strings.Replace(valid, tt.from, tt.to, 1)))
+			if err == nil {
+				err = s.Check()
+			}
+			if tt.want == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorContains(t, err, tt.want)
+		})
+	}
+}
+
+func TestCheckNamesEveryFault(t *testing.T) {
+	err := Settings{}.Check()
+	for _, field := range []string{"node.vm", "node.target", "listen.caller", "listen.peer", "platform.url", "balancer", "drainTimeout"} {
+		require.ErrorContains(t, err, field)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := Parse("node.yaml", b)
+		if err != nil {
+			require.ErrorContains(t, err, "node.yaml")
+			return
+		}
+		_ = s.Check()
+	})
+}
