--- /dev/null
+++ b/internal/fence/table_test.go
@@ -0,0 +1,99 @@
+package fence
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+)
+
+var start = time.Unix(1000, 0)
+
+func answer(n int) *vanillabarrow.Answer { return &vanillabarrow.Answer{Body: make([]byte, n)} }
+
+func TestAskAfter(t *testing.T) {
+	tests := map[string]struct {
+		do     func(table *Table, token vanillabarrow.Token)
+		ask    time.Duration
+		state  vanillabarrow.AttemptState
+		stored bool
+	}{
+		"nothing arrived":      {func(*Table, vanillabarrow.Token) {}, 0, vanillabarrow.AttemptFenced, false},
+		"it arrived":           {func(f *Table, k vanillabarrow.Token) { _ = f.Begin("a", k, true, start) }, 0, vanillabarrow.AttemptRunning, false},
+		"it finished":          {end(answer(3), nil), 0, vanillabarrow.AttemptFinished, true},
+		"its answer was large": {end(answer(MaxStoredAnswer+1), nil), 0, vanillabarrow.AttemptFinished, false},
+		"it was refused":       {end(nil, vanillabarrow.NotRun(vanillabarrow.ReasonOverloaded, "")), 0, vanillabarrow.AttemptFenced, false},
+		"it may have run":      {end(nil, vanillabarrow.MayHaveRun(vanillabarrow.ReasonDeadline, "")), 0, vanillabarrow.AttemptFailed, false},
+		"long after it ended":  {end(answer(3), nil), (EpochsKept + 1) * EpochLength, vanillabarrow.AttemptUnknown, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := New("inc", start)
+			token := table.Token(start)
+			tt.do(table, token)
+			report := table.Ask("a", token, start.Add(tt.ask))
+			require.Equal(t, tt.state, report.State)
+			require.Equal(t, tt.stored, report.Answer != nil)
+		})
+	}
+}
+
+func end(a *vanillabarrow.Answer, r *vanillabarrow.Refusal) func(table *Table, token vanillabarrow.Token) {
+	return func(table *Table, token vanillabarrow.Token) {
+		_ = table.Begin("a", token, true, start)
+		table.Finish("a", a, r)
+	}
+}
+
+func TestBegin(t *testing.T) {
+	token := vanillabarrow.Token{Incarnation: "inc"}
+	tests := map[string]struct {
+		before  func(table *Table)
+		token   vanillabarrow.Token
+		at      time.Duration
+		verdict vanillabarrow.Verdict
+		reason  vanillabarrow.Reason
+	}{
+		"second copy":         {func(f *Table) { _ = f.Begin("a", token, true, start) }, token, 0, vanillabarrow.VerdictMayHaveRun, vanillabarrow.ReasonDuplicate},
+		"after a question":    {func(f *Table) { f.Ask("a", token, start) }, token, 0, vanillabarrow.VerdictNotRun, vanillabarrow.ReasonFenced},
+		"another incarnation": {func(*Table) {}, vanillabarrow.Token{Incarnation: "old"}, 0, vanillabarrow.VerdictNotRun, vanillabarrow.ReasonStaleToken},
+		"old epoch":           {func(*Table) {}, token, EpochsKept * EpochLength, vanillabarrow.VerdictNotRun, vanillabarrow.ReasonStaleToken},
+		"table is full": {func(f *Table) {
+			for i := range 4 {
+				_ = f.Begin(fmt.Sprint(i), token, true, start)
+			}
+		}, token, 0, vanillabarrow.VerdictMayHaveRun, vanillabarrow.ReasonTableFull},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := NewSized("inc", start, 4)
+			tt.before(table)
+			refusal := vanillabarrow.AsRefusal(table.Begin("a", tt.token, true, start.Add(tt.at)))
+			require.Equal(t, tt.verdict, refusal.Verdict)
+			require.Equal(t, tt.reason, refusal.Reason)
+			if tt.reason == vanillabarrow.ReasonStaleToken {
+				require.Equal(t, table.Token(start.Add(tt.at)), refusal.Token)
+			}
+		})
+	}
+}
+
+func TestStoredAnswersAreBounded(t *testing.T) {
+	table := New("inc", start)
+	token := table.Token(start)
+	for i := range 200 {
+		id := fmt.Sprint(i)
+		require.NoError(t, table.Begin(id, token, true, start))
+		table.Finish(id, answer(MaxStoredAnswer), nil)
+		require.LessOrEqual(t, table.Stats(start).AnswerBytes, MaxAnswerBytes)
+	}
+	require.Nil(t, table.Ask("0", token, start).Answer)
+	require.NotNil(t, table.Ask("199", token, start).Answer)
+	later := start.Add((EpochsKept + 1) * EpochLength)
+	table.Ask("x", token, later)
+	require.Zero(t, table.Stats(later).Records)
+	require.Zero(t, table.Stats(later).AnswerBytes)
+}
--- /dev/null
+++ b/internal/rollout/ways_bench_test.go
@@ -0,0 +1,87 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+)
+
+// BenchmarkUpdateWays compares two ways to bring a node up to date that missed
+// a number of versions of an inventory of 4,600 targets: every version in its
+// order, or the newest against what the node holds. Bytes are those of the
+// content, messages those that the node has to apply.
+func BenchmarkUpdateWays(b *testing.B) {
+	for _, missed := range []int{1, 3, 20} {
+		versions := makeVersions(b, missed+1)
+		b.Run(fmt.Sprintf("replay/missed%d", missed), func(b *testing.B) {
+			sent, messages := 0, 0
+			for b.Loop() {
+				sent, messages = replay(b, versions)
+			}
+			b.ReportMetric(float64(sent), "bytes")
+			b.ReportMetric(float64(messages), "messages")
+		})
+		b.Run(fmt.Sprintf("newest/missed%d", missed), func(b *testing.B) {
+			sent, messages := 0, 0
+			for b.Loop() {
+				sent, messages = newestWins(b, versions)
+			}
+			b.ReportMetric(float64(sent), "bytes")
+			b.ReportMetric(float64(messages), "messages")
+		})
+	}
+}
+
+// makeVersions returns versions of which each changes one of the parts.
+func makeVersions(b *testing.B, n int) []*vanillabarrow.Bundle {
+	files := fullInventory(21, 4600)
+	versions := make([]*vanillabarrow.Bundle, n)
+	for i := range versions {
+		part := i % len(files)
+		files[part].Bytes = append(files[part].Bytes[:len(files[part].Bytes):len(files[part].Bytes)], fmt.Sprintf("# change %d\n", i)...)
+		versions[i] = bundleOf(b, vanillabarrow.Version(i+1), files)
+	}
+	return versions
+}
+
+// replay sends each version against the one before it.
+func replay(b *testing.B, versions []*vanillabarrow.Bundle) (sent, messages int) {
+	sender, receiver := New(), New()
+	for i, v := range versions {
+		_, err := sender.Offer(v, time.Now())
+		require.NoError(b, err)
+		update, err := sender.UpdateFor(receiver.HeldOf(vanillabarrow.TopicConfig))
+		require.NoError(b, err)
+		assembled, err := receiver.Assemble(update)
+		require.NoError(b, err)
+		_, err = receiver.Offer(assembled, time.Now())
+		require.NoError(b, err)
+		if i > 0 {
+			sent += update.Size()
+			messages++
+		}
+	}
+	return sent, messages
+}
+
+// newestWins sends the last version against the first.
+func newestWins(b *testing.B, versions []*vanillabarrow.Bundle) (sent, messages int) {
+	sender, receiver := New(), New()
+	_, err := receiver.Offer(versions[0], time.Now())
+	require.NoError(b, err)
+	for _, v := range versions {
+		_, err := sender.Offer(v, time.Now())
+		require.NoError(b, err)
+	}
+	update, err := sender.UpdateFor(receiver.HeldOf(vanillabarrow.TopicConfig))
+	require.NoError(b, err)
+	assembled, err := receiver.Assemble(update)
+	require.NoError(b, err)
+	_, err = receiver.Offer(assembled, time.Now())
+	require.NoError(b, err)
+	return update.Size(), 1
+}
