Remove unused names, and tighten the bound on requests at a target

The request path test allowed one round of slots more than gates had lived; the bound is now slots times gates.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,9 +20,8 @@
 	// MaxDepth is the number of mesh hops after which a request counts as a
 	// loop. The deepest expected chain is 22.
 	MaxDepth = 32
-	// subsetSize bounds the targets of one service in one distance group that
-	// a node sends to.
-	subsetSize = 12
+	// subsetSize bounds the targets of one service that a node sends to.
+	subsetSize = 24
 	// retryBase and retryLimit bound the delay before a retry.
 	retryBase  = time.Millisecond
 	retryLimit = 50 * time.Millisecond
@@ -289,8 +288,8 @@
 // subset keeps the connections of a node to a large service few. Rendezvous
 // hashing spreads the subsets of all nodes evenly over the targets.
 func subset(vm string, targets []string) []string {
-	if len(targets) <= 2*subsetSize {
+	if len(targets) <= subsetSize {
 		return targets
 	}
-	return idempotency.Order(vm, targets)[:2*subsetSize]
+	return idempotency.Order(vm, targets)[:subsetSize]
 }
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -254,7 +254,8 @@
 func (r *playing) check() error {
 	byRequest, byKey := map[string]int{}, map[string]int{}
 	for _, h := range r.world.hosts {
-		if h.backend.peak > targetSlots*(1+h.births) {
+		// What an earlier gate sent may still run when the next one starts.
+		if h.backend.peak > targetSlots*h.births {
 			return fmt.Errorf("%s ran %d requests at once", h.name, h.backend.peak)
 		}
 		for _, run := range h.backend.runs {
--- a/internal/kernel/lock.go
+++ b/internal/kernel/lock.go
@@ -10,15 +10,12 @@
 const (
 	RankRollout Rank = iota + 1
 	RankMembers
-	RankRelay
-	RankGate
 	RankFence
 	RankKeys
 	RankLimiter
 	RankLoads
 	RankTokens
 	RankRetry
-	RankSource
 	RankPool
 )
 
--- a/internal/kernel/lock_check_test.go
+++ b/internal/kernel/lock_check_test.go
@@ -17,7 +17,7 @@
 		"out of order":   {[]Rank{RankMembers, RankRollout}, true},
 		"same rank":      {[]Rank{RankFence, RankFence}, true},
 		"one alone":      {[]Rank{RankPool}, false},
-		"last then last": {[]Rank{RankRetry, RankSource, RankPool}, false},
+		"last then last": {[]Rank{RankTokens, RankRetry, RankPool}, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -121,9 +121,7 @@
 		require.Equal(t, []string{"vm-1"}, table.Suspects())
 		time.Sleep(suspicionTime + time.Millisecond)
 		require.True(t, table.Live("vm-1"))
-		table.Suspect("vm-1")
-		table.Clear("vm-1")
-		require.True(t, table.Live("vm-1"))
+		require.Empty(t, table.Suspects())
 	})
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -202,13 +202,6 @@
 	}
 }
 
-// Clear notes that the VM answered.
-func (t *Table) Clear(vm string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.suspects, vm)
-}
-
 // Suspects returns the VMs that count as down, for the state dump.
 func (t *Table) Suspects() []string {
 	t.mu.Lock()
--- a/internal/mesh/bench_test.go
+++ b/internal/mesh/bench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -49,13 +50,22 @@
 		b.Run(name, func(b *testing.B) {
 			h := hdrhistogram.New(1, time.Minute.Nanoseconds(), 3)
 			b.ReportAllocs()
+			before := cpuTime(b)
 			for b.Loop() {
 				start := time.Now()
 				post(address)
 				_ = h.RecordValue(time.Since(start).Nanoseconds())
 			}
+			b.ReportMetric(float64((cpuTime(b)-before).Microseconds())/float64(b.N), "cpu-µs/op")
 			b.ReportMetric(float64(h.ValueAtQuantile(50))/1e3, "p50-µs")
 			b.ReportMetric(float64(h.ValueAtQuantile(99))/1e3, "p99-µs")
 		})
 	}
 }
+
+// cpuTime returns the processor time of the whole process.
+func cpuTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
