Leave a stand-in parent as soon as the parents are known

Cause: at the start a node without a list watches a seed; two nodes that are no readers could watch each other for 10 s, and versions then came by the announcement of the second parent only.

--- a/internal/relay/parent.go
+++ b/internal/relay/parent.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		f.parents[slot].Store(&address)
-		heard, err := f.watchParent(ctx, slot, address)
+		heard, err := f.watchParent(ctx, slot, address, f.standInUntil())
 		none := ""
 		f.parents[slot].Store(&none)
 		if heard {
@@ -85,8 +85,7 @@
 }
 
 // watchParent follows one stream to its end. Heard is set when a message came.
-func (f *Follower) watchParent(ctx context.Context, slot int, address string) (heard bool, err error) {
-	opened := time.Now()
+func (f *Follower) watchParent(ctx context.Context, slot int, address string, standInUntil time.Time) (heard bool, err error) {
 	held := []vanillabarrow.Held{}
 	for _, topic := range topics {
 		held = append(held, f.Table.HeldOf(topic))
@@ -98,7 +97,7 @@
 		if err := f.receive(ctx, address, beat); err != nil {
 			return err
 		}
-		if !f.isParent(address, opened) {
+		if !f.isParent(address, standInUntil) {
 			return errMoved
 		}
 		return nil
@@ -141,10 +140,20 @@
 	}
 }
 
-// isParent reports whether the stream opened at the given time should go on.
-// A node that stands in for the parents is left after a while, so that the
-// tree forms again.
-func (f *Follower) isParent(address string, opened time.Time) bool {
+// standInUntil returns until when a node that is watched now may stand in for
+// the parents. One that was chosen before the parents were known, such as a
+// seed, is left as soon as they are: two nodes that watch each other would pass
+// nothing on.
+func (f *Follower) standInUntil() time.Time {
+	if len(f.Members.View().Parents) == 0 {
+		return time.Now()
+	}
+	return time.Now().Add(standInTime)
+}
+
+// isParent reports whether a stream should go on. A node that stands in for
+// the parents is left after a while, so that the tree forms again.
+func (f *Follower) isParent(address string, standInUntil time.Time) bool {
 	view := f.Members.View()
 	if view.Reader {
 		return false
@@ -152,5 +161,5 @@
 	if slices.ContainsFunc(view.Parents, func(p membership.Peer) bool { return p.Address == address }) {
 		return true
 	}
-	return len(view.Parents) == 0 || time.Since(opened) < standInTime
+	return len(view.Parents) == 0 || time.Now().Before(standInUntil)
 }
