Read the VM list first at a start, and let readers alone read the inventory

Cause: 200 nodes did not start within 3 minutes. A node that was not yet given the list read the manifest and its 22 parts from the platform, in the job that also asks peers; once it knew that it is no reader, its share of the read budget was 0.1 a second, and the job stood still for minutes. 100 nodes, most of them readers, started in 12 s. Change: the first read is the VM list alone; a reader then watches the configuration, any other node learns it from peers. Parts read for a version that is not whole yet are kept for the next try.

--- a/internal/dispatch/link_test.go
+++ b/internal/dispatch/link_test.go
@@ -129,7 +129,7 @@
 // Ask implements vanillabarrow.Forwarder.
 func (l *link) Ask(ctx context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.AttemptReport, error) {
 	h, up := l.host(a.Address)
-	if !up {
+	if !up || l.world.mute {
 		wait(ctx, dialDelay)
 		return nil, errCut
 	}
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
@@ -122,15 +123,19 @@
 	to   time.Time
 }
 
-// play runs the plan and returns the first broken promise.
-func play(p plan) error {
-	r := &playing{
+func newPlaying(p plan) *playing {
+	return &playing{
 		plan:    p,
 		world:   newWorld(planEntries, planTargets),
 		results: map[string]result{},
 		outs:    map[string][]window{},
 		out:     map[string]int{},
 	}
+}
+
+// play runs the plan and returns the first broken promise.
+func (r *playing) play() error {
+	p := r.plan
 	time.Sleep(warmUp)
 	keys := map[string]string{}
 	for i, j := range p.jobs {
@@ -308,9 +313,33 @@
 	property.Check(t, func(rt *rapid.T) {
 		p := drawPlan(rt)
 		var err error
-		synctest.Test(t, func(*testing.T) { err = play(p) })
+		synctest.Test(t, func(*testing.T) { err = newPlaying(p).play() })
 		if err != nil {
 			rt.Fatal(err)
 		}
 	})
 }
+
+// TestFenceSettles plays the same plans with and without questions to gates,
+// and compares what callers were told.
+func TestFenceSettles(t *testing.T) {
+	const plans = 100
+	drawn := rapid.Custom(drawPlan)
+	told := map[bool]map[vanillabarrow.Verdict]int{true: {}, false: {}}
+	for mute, verdicts := range told {
+		for seed := range plans {
+			p := drawn.Example(seed)
+			synctest.Test(t, func(t *testing.T) {
+				r := newPlaying(p)
+				r.world.mute = mute
+				require.NoError(t, r.play())
+				for _, out := range r.results {
+					verdicts[out.verdict]++
+				}
+			})
+		}
+	}
+	t.Logf("with questions %v, without %v", told[false], told[true])
+	require.Greater(t, told[false][vanillabarrow.VerdictFinished], told[true][vanillabarrow.VerdictFinished])
+	require.Less(t, told[false][vanillabarrow.VerdictMayHaveRun], told[true][vanillabarrow.VerdictMayHaveRun])
+}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -112,6 +112,8 @@
 	// cut holds the targets that entries can't reach.
 	mu  sync.Mutex
 	cut map[string]bool
+	// mute makes every question to a gate fail.
+	mute bool
 }
 
 func newWorld(entries, targets int) *world {
--- a/internal/kernel/lock.go
+++ b/internal/kernel/lock.go
@@ -10,6 +10,7 @@
 const (
 	RankRollout Rank = iota + 1
 	RankMembers
+	RankRelay
 	RankFence
 	RankKeys
 	RankLimiter
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -77,9 +77,10 @@
 	_ = s.http.Serve(s.listener)
 }
 
-func (m *Mesh) serve(s *http.Server, l net.Listener) {
+func (m *Mesh) serve(h *http.Server, l net.Listener) {
 	m.wg.Add(1)
-	go (&server{http: s, listener: l, wg: &m.wg}).run()
+	s := &server{http: h, listener: l, wg: &m.wg}
+	go s.run()
 }
 
 // Start starts a deployment and waits until every node is ready. The caller
@@ -301,7 +302,8 @@
 			continue
 		}
 		running++
-		go (&stopper{m, member, errs}).run(ctx)
+		s := &stopper{m, member, errs}
+		go s.run(ctx)
 	}
 	var failed []error
 	for range running {
--- a/internal/relay/bootstrap.go
+++ b/internal/relay/bootstrap.go
@@ -24,7 +24,6 @@
 type bootstrap struct {
 	follower *Follower
 	answered map[string]bool
-	platform bool
 	readAt   time.Time
 	heldAt   time.Time
 }
@@ -39,7 +38,7 @@
 		b.askPlatform(ctx)
 		if b.done(time.Now()) {
 			f.Logger.Info("node is ready", "version", f.Table.Snapshot().Version,
-				"peers", len(b.answered), "platform", b.platform)
+				"peers", len(b.answered), "platform", f.configRead.Load())
 			close(f.ready)
 			return
 		}
@@ -59,19 +58,24 @@
 	}
 }
 
+// askPlatform reads the VM list, which tells whether the node is a reader. A
+// reader then watches the configuration; any other node learns it from peers,
+// since its share of the read budget is too small for a whole inventory.
 func (b *bootstrap) askPlatform(ctx context.Context) {
-	if b.platform || time.Now().Before(b.readAt) {
+	f := b.follower
+	if f.Table.VMList() != nil || time.Now().Before(b.readAt) {
 		return
 	}
-	failed := false
-	for _, topic := range published {
-		if err := b.follower.readSource(ctx, topic); err != nil {
-			failed = true
-			b.follower.Logger.Debug("first platform read failed", "topic", topic, "error", err)
-		}
+	b.readAt = time.Now().Add(f.firstRead() + startRound)
+	ctx, cancel := context.WithTimeout(ctx, startWindow)
+	defer cancel()
+	if err := f.readSource(ctx, vanillabarrow.TopicVMs); err == nil {
+		return
+	}
+	// Without a list no node knows its rank, so the configuration is read too.
+	if err := f.readSource(ctx, vanillabarrow.TopicConfig); err != nil {
+		f.Logger.Debug("first platform read failed", "error", err)
 	}
-	b.platform = !failed
-	b.readAt = time.Now().Add(b.follower.firstRead() + startRound)
 }
 
 func (b *bootstrap) done(now time.Time) bool {
@@ -81,7 +85,7 @@
 	if b.heldAt.IsZero() {
 		b.heldAt = now
 	}
-	return b.platform || len(b.answered) >= enoughPeers || now.Sub(b.heldAt) >= startWindow
+	return b.follower.configRead.Load() || len(b.answered) >= enoughPeers || now.Sub(b.heldAt) >= startWindow
 }
 
 // known returns addresses of a few other nodes, at random.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,12 +43,8 @@
 	announceGrace = 200 * time.Millisecond
 )
 
-// published lists what is read from the platform, and topics what passes
-// between nodes.
-var (
-	published = []vanillabarrow.Topic{vanillabarrow.TopicConfig, vanillabarrow.TopicVMs}
-	topics    = []vanillabarrow.Topic{vanillabarrow.TopicConfig, vanillabarrow.TopicVMs, vanillabarrow.TopicAccepted}
-)
+// topics lists what passes between nodes.
+var topics = []vanillabarrow.Topic{vanillabarrow.TopicConfig, vanillabarrow.TopicVMs, vanillabarrow.TopicAccepted}
 
 // Config holds what a follower is made of.
 type Config struct {
@@ -80,6 +76,12 @@
 	start   time.Time
 	parents [2]atomic.Pointer[string]
 	hints   chan string
+	// configRead is set once the platform has answered for the configuration.
+	configRead atomic.Bool
+
+	mu *kernel.Mutex
+	// read holds parts of versions that are not whole yet, by digest.
+	read map[string][]byte
 }
 
 // New returns a follower that does nothing until Start.
@@ -91,6 +93,8 @@
 		ready:  make(chan struct{}),
 		start:  time.Now(),
 		hints:  make(chan string, 1),
+		mu:     kernel.NewMutex(kernel.RankRelay),
+		read:   map[string][]byte{},
 	}
 	f.heard()
 	return f
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -10,6 +10,9 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/inventory"
 )
 
+// maxPartsRead bounds the parts kept of versions that are not whole yet.
+const maxPartsRead = 64
+
 // roleCheck is how often a node that is no reader looks whether it became one.
 const roleCheck = time.Second
 
@@ -78,6 +81,9 @@
 	f.heard()
 	if value == nil || value.Revision <= f.Table.HeldVersion(topic) {
 		f.Table.Confirm(time.Now())
+		if topic == vanillabarrow.TopicConfig && f.Table.HeldVersion(topic) > 0 {
+			f.configRead.Store(true)
+		}
 		return nil
 	}
 	b, err := f.assemble(ctx, topic, value)
@@ -85,6 +91,9 @@
 		return err
 	}
 	f.offer(b, "platform")
+	if topic == vanillabarrow.TopicConfig {
+		f.configRead.Store(true)
+	}
 	return nil
 }
 
@@ -104,17 +113,40 @@
 	for _, part := range manifest.Parts {
 		content, ok := held[part.Digest]
 		if !ok {
-			value, err := f.readValue(ctx, vanillabarrow.PartKeyPrefix+part.Digest)
-			if err != nil {
+			if content, err = f.readPart(ctx, part.Digest); err != nil {
 				return nil, fmt.Errorf("part %q of version %d: %w", part.Name, b.Version, err)
 			}
-			content = value.Bytes
 		}
 		b.Parts = append(b.Parts, vanillabarrow.Part{Name: part.Name, Digest: part.Digest, Bytes: content})
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.read)
 	return b, nil
 }
 
+// readPart reads a part, unless an earlier try for the version got it. A node
+// with a small share of the read budget so gets on from one try to the next.
+func (f *Follower) readPart(ctx context.Context, digest string) ([]byte, error) {
+	f.mu.Lock()
+	content, ok := f.read[digest]
+	f.mu.Unlock()
+	if ok {
+		return content, nil
+	}
+	value, err := f.readValue(ctx, vanillabarrow.PartKeyPrefix+digest)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.read) >= maxPartsRead {
+		clear(f.read)
+	}
+	f.read[digest] = value.Bytes
+	return value.Bytes, nil
+}
+
 // heldParts returns the parts held of a topic by digest.
 func (f *Follower) heldParts(topic vanillabarrow.Topic) map[string][]byte {
 	parts := map[string][]byte{}
@@ -129,7 +161,7 @@
 // startSpread is the time over which the first platform reads of a fleet that
 // starts at once are spread, so that they stay within the budget.
 func (f *Follower) startSpread() time.Duration {
-	reads := float64(f.FleetSize * len(published))
+	reads := float64(f.FleetSize)
 	return time.Duration(reads / (float64(f.ReadBudget) * othersShare) * float64(time.Second))
 }
 
--- a/pkg/cmd/demo/demo.go
+++ b/pkg/cmd/demo/demo.go
@@ -71,11 +71,12 @@
 	deployments := []standin.Deployment{standin.Cenovka(), standin.Visites()}
 	runs := make([]*deploymentRun, len(deployments))
 	for i, d := range deployments {
-		runs[i] = &deploymentRun{deployment: d, done: make(chan struct{})}
+		r := &deploymentRun{deployment: d, done: make(chan struct{})}
+		runs[i] = r
 		if !opts.JSON {
 			_, _ = fmt.Fprintf(opts.IO.ErrOut, "running %s: %d data centres\n", d.Name, len(d.DataCentres))
 		}
-		go runs[i].run(ctx, opts.Config, logger)
+		go r.run(ctx, opts.Config, logger)
 	}
 	var reports []*demo.Report
 	for _, r := range runs {
