--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -140,26 +140,18 @@
 // attemptAll makes attempts until one ends the request.
 func (d *Dispatcher) attemptAll(ctx context.Context, f *flight) (*vanillabarrow.Answer, error) {
 	d.Retry.Observe()
-	refreshed := false
 	var last *vanillabarrow.Refusal
 	for {
 		target := d.choose(f)
 		if target == nil {
 			return nil, noTarget(last)
 		}
-		f.attempts++
-		answer, err := d.attempt(ctx, f, target)
+		answer, err := d.attemptAt(ctx, f, target)
 		if err == nil {
 			return answer, nil
 		}
 		last = vanillabarrow.AsRefusal(err)
 		f.retries += last.Retries
-		if last.Reason == vanillabarrow.ReasonStaleToken && !refreshed {
-			// The refusal brought the token, so the same target is asked
-			// again at no cost to the retry budget.
-			refreshed = true
-			continue
-		}
 		if last.Verdict != vanillabarrow.VerdictNotRun {
 			f.mayHaveRun = true
 		}
@@ -167,10 +159,21 @@
 		if !d.mayRetry(ctx, f, last) {
 			return nil, last
 		}
-		refreshed = false
 	}
 }
 
+// attemptAt makes an attempt at the target. A refusal for a stale token brings
+// the new one, so the same target is asked again at no cost to the budget.
+func (d *Dispatcher) attemptAt(ctx context.Context, f *flight, target *vanillabarrow.Target) (*vanillabarrow.Answer, error) {
+	f.attempts++
+	answer, err := d.attempt(ctx, f, target)
+	if err == nil || vanillabarrow.AsRefusal(err).Reason != vanillabarrow.ReasonStaleToken || !replayable(f.request) {
+		return answer, err
+	}
+	f.attempts++
+	return d.attempt(ctx, f, target)
+}
+
 func noTarget(last *vanillabarrow.Refusal) error {
 	if last != nil {
 		return last
