--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -137,7 +137,7 @@
 			verdict: vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonWrongTarget,
 		},
 		"opaque key at a gate that just started": {
-			prepare: func(g *Gate, cfg *fixed, a *vanillabarrow.Attempt) {
+			prepare: func(_ *Gate, cfg *fixed, a *vanillabarrow.Attempt) {
 				s := snapshot(false)
 				s.Services[service].KeyWindow = time.Minute
 				cfg.snapshot.Store(s)
