Keep the library from sending an attempt to a second process of a gate

Cause: trying one-line breaks, two survived because the fake network told a gate at once that the sender of a late message had gone. With the fake mended the stateful test found a request that ran twice: one copy at a gate that then restarted, one refused as not-run by its next process. Over TCP that needs the same attempt on two connections, and net/http does just that: it sends a request with an empty body and an idempotency key again when a pooled connection breaks. A test over real connections shows it: 3 requests for 2 attempts before, 2 after. Change: such attempts have a body whose type the library won't replay. In the fake, what is on its way to a process that ends never reaches the next one, as over TCP.

--- a/internal/dispatch/link_test.go
+++ b/internal/dispatch/link_test.go
@@ -48,6 +48,7 @@
 	host    *host
 	attempt vanillabarrow.Attempt
 	delay   time.Duration
+	process int
 	result  chan delivered
 }
 
@@ -61,8 +62,18 @@
 // run delivers the attempt. The context is the connection: it ends when the
 // sender closes it or the gate's process ends.
 func (d *delivery) run(ctx context.Context) {
-	// A request on its way arrives whether or not the sender still waits.
-	wait(context.WithoutCancel(ctx), d.delay)
+	// A request on its way arrives whether or not the sender still waits, and
+	// a gate does not notice at once that the sender has gone.
+	if d.delay > hopDelay {
+		ctx = context.WithoutCancel(ctx)
+	}
+	wait(ctx, d.delay)
+	// A connection leads to one process: what is on its way when that ends
+	// never reaches the next one.
+	if d.host.process() != d.process {
+		d.result <- delivered{err: vanillabarrow.MayHaveRun(vanillabarrow.ReasonConnectionFailed, "reset")}
+		return
+	}
 	g, ctx, cancel := d.host.current(ctx)
 	defer cancel()
 	answer, err := g.Handle(ctx, &d.attempt)
@@ -87,9 +98,9 @@
 	case faultTwice:
 		copies = 2
 	}
-	results := make(chan delivered, copies)
+	results, process := make(chan delivered, copies), h.process()
 	for i := range copies {
-		d := &delivery{link: l, host: h, attempt: *a, delay: delay + time.Duration(i)*late, result: results}
+		d := &delivery{link: l, host: h, attempt: *a, delay: delay + time.Duration(i)*late, process: process, result: results}
 		go d.run(ctx)
 	}
 	select {
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -237,6 +237,13 @@
 	return h.gate, ctx, cancel
 }
 
+// process numbers the processes that the host has had.
+func (h *host) process() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.births
+}
+
 func (h *host) pause() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -110,7 +110,9 @@
 	request.Host = r.Host
 	message.Copy(request.Header, r.Header)
 	writeAttempt(request.Header, a, f.vm, time.Now())
-	if len(r.Body) > 0 || r.Stream != nil {
+	if len(r.Body) > 0 || r.Stream != nil || !r.Idempotent {
+		// The body's type keeps net/http from sending the request again over
+		// another connection, which may lead to another process of the gate.
 		request.Body = io.NopCloser(message.Join(r.Body, r.Stream))
 		request.ContentLength = r.Size
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -267,6 +267,30 @@
 	}
 }
 
+// TestNoSecondSend checks that the HTTP library does not send an attempt again
+// over another connection when a pooled one breaks.
+func TestNoSecondSend(t *testing.T) {
+	posts := 0
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
+		w.Header().Set(headerVerdict, vanillabarrow.VerdictFinished.String())
+		if posts++; posts > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer ts.Close()
+	l := newLink(t)
+	a := l.attempt()
+	a.Address = strings.TrimPrefix(ts.URL, "http://")
+	a.Request.Body, a.Request.Size = nil, 0
+	a.Request.Header["Idempotency-Key"] = []string{"key"}
+	_, err := l.forwarder.Forward(t.Context(), a)
+	require.NoError(t, err)
+	_, err = l.forwarder.Forward(t.Context(), a)
+	require.Equal(t, vanillabarrow.VerdictMayHaveRun, vanillabarrow.AsRefusal(err).Verdict)
+	require.Equal(t, 2, posts)
+}
+
 func TestServerWantsTheMeshsFields(t *testing.T) {
 	l := newLink(t)
 	tests := map[string]http.Header{
