Test paths around a cut, and a slot granted to a waiter that leaves

Two one-line breaks survived: readers that compare no versions elsewhere, and a waiter that keeps the slot it was granted while it gave up. The tests now cover both. The fake platform answered a waiting watch across a cut; it no longer does.

--- a/internal/limit/adaptive_test.go
+++ b/internal/limit/adaptive_test.go
@@ -159,3 +159,17 @@
 		}
 	}
 }
+
+// TestGrantMeetsLeave gives a slot to a waiter that has just given up.
+func TestGrantMeetsLeave(t *testing.T) {
+	a := New(1)
+	require.NoError(t, a.Acquire(t.Context(), far()))
+	w, err := a.enter(far())
+	require.NoError(t, err)
+	require.NotNil(t, w)
+	a.Release(vanillabarrow.SignalNeutral, 0)
+	require.Equal(t, 1, a.Load().InFlight, "the waiter has the slot")
+	refusal := vanillabarrow.NotRun(vanillabarrow.ReasonCanceled, "")
+	require.Equal(t, refusal, a.leave(w, refusal))
+	require.Zero(t, a.Load().InFlight)
+}
--- a/internal/relay/machine_test.go
+++ b/internal/relay/machine_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
@@ -295,3 +296,44 @@
 		}
 	})
 }
+
+// TestReachesCutDataCentre publishes while a data centre lacks a path. Those
+// that another path leads to converge in the usual time.
+func TestReachesCutDataCentre(t *testing.T) {
+	tests := map[string]struct {
+		cuts    [][2]string
+		reached bool
+	}{
+		"cut from the platform":                 {[][2]string{{"dc0", "platform"}}, true},
+		"two cut from the platform":             {[][2]string{{"dc0", "platform"}, {"dc1", "platform"}}, true},
+		"cut from the platform and one another": {[][2]string{{"dc0", "platform"}, {"dc0", "dc1"}}, true},
+		"cut from everything":                   {[][2]string{{"dc0", "platform"}, {"dc0", "dc1"}, {"dc0", "dc2"}}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(machineDCs, machineNodes)
+				for _, m := range f.members {
+					m.start()
+				}
+				time.Sleep(2 * convergeBound)
+				before := f.members[0].current().table.Status().InForce
+				for _, c := range tt.cuts {
+					f.cut(c[0], c[1], 1)
+				}
+				version := f.publishConfig(false)
+				time.Sleep(convergeBound)
+				for _, m := range f.members {
+					want := version
+					if m.dc == "dc0" && !tt.reached {
+						want = before
+					}
+					r := m.current()
+					require.Equal(t, want, r.table.Status().InForce, m.name)
+					require.NotNil(t, r.follower.Snapshot(), "%s serves what it holds", m.name)
+					m.kill()
+				}
+			})
+		})
+	}
+}
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -149,6 +149,10 @@
 	defer timer.Stop()
 	for {
 		v, changed, err := s.fleet.platform.look(key)
+		if s.fleet.isCut(s.dc, "platform") {
+			<-ctx.Done()
+			return nil, errCut
+		}
 		if err != nil || (v != nil && v.Revision > after) {
 			return v, err
 		}
