--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// lameDuck is the time between the announcement of a stop and the closing
+	// leaveNotice is the time between the announcement of a stop and the closing
 	// of the listeners, in which callers and nodes move on.
-	lameDuck = time.Second
+	leaveNotice = time.Second
 	// reportInterval is the period at which metrics are collected.
 	reportInterval = 2 * time.Second
 )
@@ -125,7 +125,7 @@
 	for _, d := range n.drainers {
 		d.Drain()
 	}
-	timer := time.NewTimer(lameDuck)
+	timer := time.NewTimer(leaveNotice)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
