--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -270,11 +271,11 @@
 // TestNoSecondSend checks that the HTTP library does not send an attempt again
 // over another connection when a pooled one breaks.
 func TestNoSecondSend(t *testing.T) {
-	posts := 0
+	var posts atomic.Int64
 	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
 		w.Header().Set(headerVerdict, vanillabarrow.VerdictFinished.String())
-		if posts++; posts > 1 {
+		if posts.Add(1) > 1 {
 			panic(http.ErrAbortHandler)
 		}
 	}))
@@ -288,7 +289,7 @@
 	require.NoError(t, err)
 	_, err = l.forwarder.Forward(t.Context(), a)
 	require.Equal(t, vanillabarrow.VerdictMayHaveRun, vanillabarrow.AsRefusal(err).Verdict)
-	require.Equal(t, 2, posts)
+	require.Equal(t, int64(2), posts.Load())
 }
 
 func TestServerWantsTheMeshsFields(t *testing.T) {
