Build the request for both hops in one place

Cause: the rule that keeps net/http from sending a request twice stood in the forwarder and in the executor, with conditions that differed; it was wrong in one of them before. Change: message.NewRequest holds it once. The tests of both hops that break a pooled connection pass as before.

--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -100,22 +100,11 @@
 
 func (f *Forwarder) request(ctx context.Context, a *vanillabarrow.Attempt) (*http.Request, error) {
 	r := a.Request
-	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+a.Address, nil)
+	request, err := message.NewRequest(ctx, a.Address, r)
 	if err != nil {
 		return nil, err
 	}
-	if request.URL, err = message.URL(a.Address, r.Path); err != nil {
-		return nil, err
-	}
-	request.Host = r.Host
-	message.Copy(request.Header, r.Header)
 	writeAttempt(request.Header, a, f.vm, time.Now())
-	if len(r.Body) > 0 || r.Stream != nil || !r.Idempotent {
-		// The body's type keeps net/http from sending the request again over
-		// another connection, which may lead to another process of the gate.
-		request.Body = io.NopCloser(message.Join(r.Body, r.Stream))
-		request.ContentLength = r.Size
-	}
 	if r.Stream != nil {
 		request.Header.Set("Expect", "100-continue")
 	}
--- a/internal/target/executor.go
+++ b/internal/target/executor.go
@@ -164,26 +164,15 @@
 
 func (c *client) request(ctx context.Context, a *vanillabarrow.Attempt) (*http.Request, error) {
 	r := a.Request
-	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.address, nil)
+	request, err := message.NewRequest(ctx, c.address, r)
 	if err != nil {
 		return nil, err
 	}
-	if request.URL, err = message.URL(c.address, r.Path); err != nil {
-		return nil, err
-	}
-	request.Host = r.Host
-	message.Copy(request.Header, r.Header)
 	request.Header.Set(message.ContextHeader, message.Context{
 		Depth:   r.Depth + 1,
 		Retries: r.RetriesLeft,
 		Budget:  time.Until(a.Deadline),
 	}.String())
-	if r.Size != 0 || !r.Idempotent {
-		// The body's type keeps net/http from sending the request twice, which
-		// it does for an empty body with an idempotency key.
-		request.Body = io.NopCloser(message.Join(r.Body, r.Stream))
-		request.ContentLength = r.Size
-	}
 	return request, nil
 }
 
