--- /dev/null
+++ b/internal/caller/server_test.go
@@ -0,0 +1,193 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/message"
+)
+
+// scripted answers as the test says and keeps the request.
+type scripted struct {
+	answer  *vanillabarrow.Answer
+	err     error
+	request *vanillabarrow.Request
+	budget  time.Duration
+	body    []byte
+}
+
+func (s *scripted) Do(ctx context.Context, r *vanillabarrow.Request) (*vanillabarrow.Answer, error) {
+	s.request = r
+	if deadline, ok := ctx.Deadline(); ok {
+		s.budget = time.Until(deadline)
+	}
+	s.body, _ = io.ReadAll(message.Join(r.Body, r.Stream))
+	return s.answer, s.err
+}
+
+type configuration struct{ snapshot *vanillabarrow.Snapshot }
+
+func (c configuration) Snapshot() *vanillabarrow.Snapshot { return c.snapshot }
+
+func snapshot() *vanillabarrow.Snapshot {
+	return &vanillabarrow.Snapshot{
+		Services: map[string]*vanillabarrow.Service{"desk": {Name: "desk", Retries: 2, IdempotentMethods: []string{"GET"}}},
+		Routes:   map[string][]*vanillabarrow.Route{"": {{Name: "r", PathPrefix: "/returns", Service: "desk"}}},
+	}
+}
+
+const maxBody = 200 << 10
+
+func newServer(t *testing.T, d *scripted, s *vanillabarrow.Snapshot) (*Server, string) {
+	server := New(Config{
+		Dispatcher: d, Configuration: configuration{s}, Logger: slog.New(slog.DiscardHandler),
+		NewID: func() string { return "id" }, MaxBodyBytes: maxBody, MaxInFlight: 10,
+	})
+	ts := httptest.NewServer(server.Handler())
+	t.Cleanup(ts.Close)
+	return server, ts.URL
+}
+
+func TestRequestIsRead(t *testing.T) {
+	d := &scripted{answer: &vanillabarrow.Answer{Status: 200, Body: []byte("ok"), Attempts: 2, Target: "t1"}}
+	_, url := newServer(t, d, snapshot())
+	large := bytes.Repeat([]byte("x"), 2*holdBytes)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/returns/a%2Fb?q=1", bytes.NewReader(large))
+	require.NoError(t, err)
+	request.Header.Set("Idempotency-Key", "key")
+	request.Header.Set("Vb-Verdict", "finished")
+	request.Header.Set("Vb-Attempt", "forged")
+	request.Header.Set("X-Own", "1")
+	request.Header.Set(message.ContextHeader, "depth=3;retries=1;budget=5000")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, "finished", response.Header.Get(VerdictHeader))
+	require.Equal(t, "2", response.Header.Get(AttemptsHeader))
+	require.Equal(t, "t1", response.Header.Get(TargetHeader))
+	require.Equal(t, "/returns/a%2Fb?q=1", d.request.Path)
+	require.Equal(t, "key", d.request.Key)
+	require.Equal(t, 3, d.request.Depth)
+	require.Equal(t, 1, d.request.RetriesLeft)
+	require.False(t, d.request.Idempotent)
+	require.Equal(t, large, d.body)
+	require.Positive(t, d.budget)
+	require.Equal(t, vanillabarrow.Header{
+		"X-Own": {"1"}, "Idempotency-Key": {"key"}, "Accept-Encoding": {"gzip"}, "User-Agent": {"Go-http-client/1.1"},
+		"Content-Length": {"131072"},
+	}, d.request.Header)
+}
+
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		refusal *vanillabarrow.Refusal
+		method  string
+		path    string
+		header  http.Header
+		body    io.Reader
+		none    bool
+		status  int
+		verdict string
+		reason  string
+	}{
+		"no route":         {path: "/other", status: 404, verdict: "not-run", reason: "noRoute"},
+		"no configuration": {none: true, status: 503, verdict: "not-run", reason: "noConfig"},
+		"bad context":      {header: http.Header{message.ContextHeader: {"depth=x"}}, status: 400, verdict: "not-run", reason: "badRequest"},
+		"key too long":     {header: http.Header{"Idempotency-Key": {strings.Repeat("k", 300)}}, status: 400, verdict: "not-run", reason: "badRequest"},
+		"body too large":   {body: bytes.NewReader(make([]byte, maxBody+1)), status: 413, verdict: "not-run", reason: "tooLarge"},
+		"connect":          {method: http.MethodConnect, status: 404, verdict: "not-run", reason: "noRoute"},
+		"overloaded":       {refusal: vanillabarrow.NotRun(vanillabarrow.ReasonOverloaded, ""), status: 503, verdict: "not-run", reason: "overloaded"},
+		"deadline":         {refusal: vanillabarrow.NotRun(vanillabarrow.ReasonDeadline, ""), status: 504, verdict: "not-run", reason: "deadline"},
+		"late":             {refusal: vanillabarrow.MayHaveRun(vanillabarrow.ReasonDeadline, ""), status: 504, verdict: "may-have-run", reason: "deadline"},
+		"answer lost":      {refusal: vanillabarrow.MayHaveRun(vanillabarrow.ReasonAnswerLost, ""), status: 502, verdict: "may-have-run", reason: "answerLost"},
+		"key unknown":      {refusal: vanillabarrow.MayHaveRun(vanillabarrow.ReasonKeyUnknown, ""), status: 409, verdict: "may-have-run", reason: "keyUnknown"},
+		"another request":  {refusal: vanillabarrow.NotRun(vanillabarrow.ReasonDuplicate, ""), status: 422, verdict: "not-run", reason: "duplicate"},
+		"loop":             {refusal: vanillabarrow.NotRun(vanillabarrow.ReasonTooDeep, ""), status: 508, verdict: "not-run", reason: "tooDeep"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := &scripted{err: tt.refusal}
+			if tt.refusal == nil {
+				d.err = errors.New("must not be asked")
+			}
+			s := snapshot()
+			if tt.none {
+				s = nil
+			}
+			_, url := newServer(t, d, s)
+			path, method := "/returns", http.MethodPost
+			if tt.path != "" {
+				path = tt.path
+			}
+			if tt.method != "" {
+				method = tt.method
+			}
+			request, err := http.NewRequestWithContext(t.Context(), method, url+path, tt.body)
+			require.NoError(t, err)
+			for name, values := range tt.header {
+				request.Header[name] = values
+			}
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			require.Equal(t, tt.status, response.StatusCode)
+			require.Equal(t, tt.verdict, response.Header.Get(VerdictHeader))
+			require.Equal(t, tt.reason, response.Header.Get(ReasonHeader))
+			var body refusalBody
+			require.NoError(t, json.NewDecoder(response.Body).Decode(&body))
+			require.Equal(t, tt.verdict, body.Verdict)
+		})
+	}
+}
+
+func TestBrokenAnswerBreaksTheConnection(t *testing.T) {
+	d := &scripted{answer: &vanillabarrow.Answer{
+		Status: 200, Body: bytes.Repeat([]byte("x"), holdBytes), Stream: io.NopCloser(iotest.ErrReader(errors.New("gone"))),
+	}}
+	_, url := newServer(t, d, snapshot())
+	response, err := http.Get(url + "/returns")
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.ReadAll(response.Body)
+	require.Error(t, err)
+}
+
+func TestTooManyInFlight(t *testing.T) {
+	d := &scripted{answer: &vanillabarrow.Answer{Status: 200}}
+	server, url := newServer(t, d, snapshot())
+	server.inFlight.Store(10)
+	response, err := http.Get(url + "/returns")
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "1", response.Header.Get("Retry-After"))
+	require.Equal(t, 10, server.InFlight())
+}
+
+func TestDrainClosesConnections(t *testing.T) {
+	d := &scripted{answer: &vanillabarrow.Answer{Status: 200}}
+	server, url := newServer(t, d, snapshot())
+	for _, draining := range []bool{false, true} {
+		if draining {
+			server.Drain()
+		}
+		response, err := http.Get(url + "/returns")
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, draining, response.Close)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+}
--- a/internal/message/header.go
+++ b/internal/message/header.go
@@ -4,6 +4,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"net/url"
 	"strings"
 )
 
@@ -43,3 +44,14 @@
 		to[name] = append([]string(nil), values...)
 	}
 }
+
+// URL returns the URL of a request target at an address. A target that begins
+// with two slashes is a path like any other.
+func URL(address, target string) (*url.URL, error) {
+	u, err := url.ParseRequestURI(target)
+	if err != nil {
+		return nil, err
+	}
+	u.Scheme, u.Host = "http", address
+	return u, nil
+}
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -104,11 +104,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if request.URL, err = request.URL.Parse(r.Path); err != nil {
+	if request.URL, err = message.URL(a.Address, r.Path); err != nil {
 		return nil, err
 	}
-	// A path that starts with two slashes would otherwise be taken for a host.
-	request.URL.Scheme, request.URL.Host = "http", a.Address
 	request.Host = r.Host
 	message.Copy(request.Header, r.Header)
 	writeAttempt(request.Header, a, f.vm, time.Now())
--- a/internal/target/executor.go
+++ b/internal/target/executor.go
@@ -159,10 +159,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if request.URL, err = request.URL.Parse(r.Path); err != nil {
+	if request.URL, err = message.URL(c.address, r.Path); err != nil {
 		return nil, err
 	}
-	request.URL.Scheme, request.URL.Host = "http", c.address
 	request.Host = r.Host
 	message.Copy(request.Header, r.Header)
 	request.Header.Set(message.ContextHeader, message.Context{
