--- a/config.go
+++ b/config.go
@@ -91,6 +91,13 @@
 	Connections int `json:"connections" yaml:"connections"`
 	// Out is set when the rules take the target or its data centre out.
 	Out bool `json:"out" yaml:"-"`
+	// Draining is set while the target finishes its work and takes no more.
+	Draining bool `json:"draining,omitempty" yaml:"-"`
+	// ColdUntil is when the target's last announced warm-up ends.
+	ColdUntil time.Time `json:"coldUntil,omitzero" yaml:"-"`
+	// Created is when the target's entry came into being. Of two targets at
+	// one address the newer is the one that runs.
+	Created Version `json:"created,omitempty" yaml:"-"`
 }
 
 // Service is a named set of targets with its request policy.
@@ -107,10 +114,23 @@
 	// NotRunStatuses lists answer statuses by which a target states that it
 	// did not run the request.
 	NotRunStatuses []int `json:"notRunStatuses,omitempty"`
+	// WarmUp is how long a target is cold after its start, 0 if it is not.
+	WarmUp time.Duration `json:"warmUp,omitempty"`
+	// WarmUpRate is the number of requests a second that a cold target bears,
+	// 0 for no bound.
+	WarmUpRate float64 `json:"warmUpRate,omitempty"`
+	// HealthPath is the path of the target's health check, empty for none.
+	HealthPath string `json:"healthPath,omitempty"`
 	// Targets lists the names of the service's targets, sorted.
 	Targets []string `json:"targets"`
 }
 
+// Share is one part of a weighted split.
+type Share struct {
+	Service string  `json:"service" yaml:"service"`
+	Weight  float64 `json:"weight" yaml:"weight"`
+}
+
 // Route sends requests with a host, a path prefix and a method to a service.
 type Route struct {
 	Name string `json:"name" yaml:"name"`
@@ -120,7 +140,28 @@
 	PathPrefix string `json:"pathPrefix" yaml:"pathPrefix"`
 	// Methods lists the matched methods. An empty list matches any.
 	Methods []string `json:"methods,omitempty" yaml:"methods"`
-	Service string   `json:"service" yaml:"service"`
+	Service string   `json:"service,omitempty" yaml:"service"`
+	// Split divides the requests among services. It replaces Service.
+	Split []Share `json:"split,omitempty" yaml:"split,omitempty"`
+	// Idempotent says whether requests may run more than once. Nil leaves it
+	// to the method and the service's policy.
+	Idempotent *bool `json:"idempotent,omitempty" yaml:"idempotent,omitempty"`
+	// MaxAttempts bounds the targets that one request may reach, 0 for the
+	// service's policy.
+	MaxAttempts int `json:"maxAttempts,omitempty" yaml:"maxAttempts,omitempty"`
+	// Timeout bounds a request, 0 for the service's policy.
+	Timeout time.Duration `json:"timeout,omitempty" yaml:"timeout,omitempty"`
+	// Objective is the latency that callers expect, 0 for none.
+	Objective time.Duration `json:"objective,omitempty" yaml:"objective,omitempty"`
+	// Priority is the rank in a queue. 0 goes first.
+	Priority int `json:"priority,omitempty" yaml:"priority,omitempty"`
+}
+
+// RequestLimits bounds what callers may send. Zero values leave the node's
+// settings in force.
+type RequestLimits struct {
+	MaxHeaderBytes int   `json:"maxHeaderBytes,omitempty"`
+	MaxBodyBytes   int64 `json:"maxBodyBytes,omitempty"`
 }
 
 // Snapshot is one compiled configuration version. It is immutable.
@@ -134,6 +175,29 @@
 	// Routes maps a host to its routes, most specific first. The routes for
 	// any host are under the empty host.
 	Routes map[string][]*Route
+	Limits RequestLimits
+	// ByAddress maps the address of each target to its newest target. It is
+	// empty where targets are known by name.
+	ByAddress map[string]*Target
+}
+
+// TargetRef names the target beside a node: by name, or by address where the
+// name changes with each start of the target.
+type TargetRef struct {
+	Name    string
+	Address string
+}
+
+// In returns the target in a snapshot, nil for none.
+func (r TargetRef) In(s *Snapshot) *Target {
+	switch {
+	case s == nil:
+		return nil
+	case r.Name != "":
+		return s.Targets[r.Name]
+	default:
+		return s.ByAddress[r.Address]
+	}
 }
 
 // VMState is the platform's word on one VM.
--- a/interfaces.go
+++ b/interfaces.go
@@ -21,6 +21,76 @@
 	Snapshot() *Snapshot
 }
 
+// Rollout keeps a node's configuration up to date.
+type Rollout interface {
+	Configuration
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+	// IsReady reports whether the node may take work.
+	IsReady() bool
+	// VMList returns the newest VM list, nil if there is none.
+	VMList() *VMList
+	// HeldVersion returns the newest version held, good or bad.
+	HeldVersion() Version
+	// Hint tells that the node at a peer address holds a newer version.
+	Hint(address string)
+	// CheckNewest returns when the newest reachable version is in force, after
+	// the timeout at the latest.
+	CheckNewest(ctx context.Context, timeout time.Duration)
+	// Parents returns the peer addresses of the nodes that are followed.
+	Parents() []string
+	// Status returns the state for operators.
+	Status() RolloutStatus
+}
+
+// ItemSource lists and watches published items. Errors mean that nothing was
+// learned.
+type ItemSource interface {
+	// List returns all items.
+	List(ctx context.Context) (*Delta, error)
+	// Watch returns what changed after a revision, after a wait of bounded
+	// length an empty delta. ErrHistoryLost means that List is needed.
+	Watch(ctx context.Context, after Version) (*Delta, error)
+}
+
+// ItemCompiler builds a snapshot from items. The problems name entries that
+// were left out or the values that they had before; they are not fatal.
+type ItemCompiler interface {
+	Compile(items []Item, version Version, now time.Time) (*Snapshot, []error)
+}
+
+// ItemRelay passes items between nodes. Addresses are those of peer listeners.
+type ItemRelay interface {
+	// Follow calls receive for each delta until the stream ends or receive
+	// fails. The cursor is the last one that the peer sent.
+	Follow(ctx context.Context, address string, cursor Cursor, receive func(*Delta) error) error
+	// Pull returns what changed at the peer since the cursor.
+	Pull(ctx context.Context, address string, cursor Cursor) (*Delta, error)
+}
+
+// CallerProtocol translates between callers' header fields and the product's
+// types.
+type CallerProtocol interface {
+	// Read completes a request. The budget is the time that the caller waits, 0
+	// when it does not say.
+	Read(h Header, request *Request, service *Service) (budget time.Duration, err error)
+	// Answer completes the header of an answer.
+	Answer(h Header, answer *Answer)
+	// Refuse completes the header of a refusal and returns status and body.
+	Refuse(h Header, refusal *Refusal) (status int, body []byte)
+}
+
+// TargetProtocol translates between the product's types and the header fields
+// that targets understand.
+type TargetProtocol interface {
+	// Prepare completes the header of a request.
+	Prepare(h Header, attempt *Attempt, now time.Time)
+	// Classify tells what an answer is.
+	Classify(attempt *Attempt, status int, h Header) AnswerClass
+	// Health reads the header of an answer to a health check.
+	Health(status int, h Header) Health
+}
+
 // Members tells which VMs are believed to be up.
 type Members interface {
 	// Live reports whether the VM takes new work as far as is known.
@@ -50,11 +120,15 @@
 // Limiter admits requests to one target.
 type Limiter interface {
 	// Acquire waits for a slot. The error is a *Refusal with VerdictNotRun.
-	Acquire(ctx context.Context, deadline time.Time) error
+	Acquire(ctx context.Context, admission Admission) error
 	// Release gives the slot back with what the attempt told.
-	Release(signal TargetSignal, latency time.Duration)
-	// SetSlots changes the bound that the limit may climb to.
-	SetSlots(slots int)
+	Release(admission Admission, signal TargetSignal, latency time.Duration)
+	// Configure takes over what a snapshot says about the target.
+	Configure(target *Target, service *Service, now time.Time)
+	// NeedsCheck reports whether the target's health should be asked for.
+	NeedsCheck() bool
+	// Learn takes over what the target says about itself.
+	Learn(health Health, now time.Time)
 	// Load returns the current load.
 	Load() Load
 	// Cuts returns how often the limit fell.
@@ -63,11 +137,11 @@
 
 // RetryPolicy decides whether a request gets another attempt.
 type RetryPolicy interface {
-	// Observe counts a first attempt.
-	Observe()
-	// Allow takes a retry after a refusal for the reason from the budget, and
-	// reports whether there was one.
-	Allow(reason Reason) bool
+	// Observe counts a first attempt at a service.
+	Observe(service string)
+	// Allow takes a retry after a refusal for the reason from the service's
+	// budget, and reports whether there was one.
+	Allow(service string, reason Reason) bool
 }
 
 // Forwarder sends attempts to the nodes of targets.
--- a/internal/caller/plugin.go
+++ b/internal/caller/plugin.go
@@ -7,6 +7,7 @@
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/route"
 	"github.com/vanillabarrow/vanillabarrow/internal/settings"
 )
 
@@ -14,7 +15,7 @@
 	kernel.Register(kernel.Plugin{
 		Name: "caller",
 		Options: fx.Options(
-			fx.Provide(provide),
+			fx.Provide(fromParts, route.NewSplits),
 			fx.Invoke(serve),
 			kernel.ProvideDrainer(func(s *Server) kernel.Drainer {
 				return kernel.Drainer{Name: "caller", Drain: s.Drain}
@@ -26,16 +27,35 @@
 			}),
 		),
 	})
+	kernel.Register(kernel.Plugin{
+		Name:    "caller.protocol",
+		Profile: vanillabarrow.ProfileInventory,
+		Options: fx.Provide(func() vanillabarrow.CallerProtocol { return NewProtocol() }),
+	})
+}
+
+// parts are the constructor arguments that the kernel fills in.
+type parts struct {
+	fx.In
+	Dispatcher    vanillabarrow.Dispatcher
+	Configuration vanillabarrow.Configuration
+	Protocol      vanillabarrow.CallerProtocol
+	Splits        *route.Splits
+	Settings      settings.Settings
+	Identity      *kernel.Identity
+	Logger        *slog.Logger
 }
 
-func provide(d vanillabarrow.Dispatcher, cfg vanillabarrow.Configuration, s settings.Settings, id *kernel.Identity, logger *slog.Logger) *Server {
+func fromParts(p parts) *Server {
 	return New(Config{
-		Dispatcher:    d,
-		Configuration: cfg,
-		Logger:        logger,
-		NewID:         id.NewID,
-		MaxBodyBytes:  s.Requests.MaxBodyBytes,
-		MaxInFlight:   s.Requests.MaxInFlight,
+		Dispatcher:    p.Dispatcher,
+		Configuration: p.Configuration,
+		Protocol:      p.Protocol,
+		Splits:        p.Splits,
+		Logger:        p.Logger,
+		NewID:         p.Identity.NewID,
+		MaxBodyBytes:  p.Settings.Requests.MaxBodyBytes,
+		MaxInFlight:   p.Settings.Requests.MaxInFlight,
 	})
 }
 
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -3,12 +3,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -16,21 +14,10 @@
 	"github.com/gorilla/mux"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
-	"github.com/vanillabarrow/vanillabarrow/internal/idempotency"
 	"github.com/vanillabarrow/vanillabarrow/internal/message"
 	"github.com/vanillabarrow/vanillabarrow/internal/route"
 )
 
-// Header fields that callers see. docs/PROTOCOL.md describes them.
-const (
-	VerdictHeader  = "Vb-Verdict"
-	ReasonHeader   = "Vb-Reason"
-	AttemptsHeader = "Vb-Attempts"
-	RetriesHeader  = "Vb-Retries"
-	TargetHeader   = "Vb-Target"
-	keyHeader      = "Idempotency-Key"
-)
-
 // holdBytes is the largest body that can be sent again to another target.
 const holdBytes = 64 << 10
 
@@ -38,6 +25,8 @@
 type Config struct {
 	Dispatcher    vanillabarrow.Dispatcher
 	Configuration vanillabarrow.Configuration
+	Protocol      vanillabarrow.CallerProtocol
+	Splits        *route.Splits
 	Logger        *slog.Logger
 	NewID         func() string
 	MaxBodyBytes  int64
@@ -101,6 +90,7 @@
 
 // read builds the request. The context carries the caller's budget.
 func (s *Server) read(r *http.Request) (*vanillabarrow.Request, context.Context, context.CancelFunc, error) {
+	arrived := time.Now()
 	ctx, cancel := context.WithCancel(r.Context())
 	if r.Method == http.MethodConnect || !strings.HasPrefix(r.URL.Path, "/") {
 		return nil, ctx, cancel, badRequest(vanillabarrow.ReasonNoRoute, "only requests with a path are served")
@@ -115,11 +105,23 @@
 	if matched == nil {
 		return nil, ctx, cancel, badRequest(vanillabarrow.ReasonNoRoute, "no route matches")
 	}
-	service := snapshot.Services[matched.Service]
-	inherited, err := inheritedContext(r.Header, service)
+	service := snapshot.Services[s.Splits.Service(matched)]
+	request := s.request(r, matched, service)
+	budget, err := s.Protocol.Read(vanillabarrow.Header(r.Header), request, service)
 	if err != nil {
 		return nil, ctx, cancel, badRequest(vanillabarrow.ReasonBadRequest, err.Error())
 	}
+	if err := s.readBody(r, request, snapshot.Limits); err != nil {
+		return nil, ctx, cancel, err
+	}
+	if budget > 0 {
+		ctx, cancel = withTimeout(ctx, cancel, budget-time.Since(arrived))
+	}
+	return request, ctx, cancel, nil
+}
+
+// request builds the request of a matched route without its body.
+func (s *Server) request(r *http.Request, matched *vanillabarrow.Route, service *vanillabarrow.Service) *vanillabarrow.Request {
 	request := &vanillabarrow.Request{
 		ID:          s.NewID(),
 		Service:     service.Name,
@@ -128,18 +130,17 @@
 		Path:        r.URL.RequestURI(),
 		Header:      vanillabarrow.Header(message.EndToEnd(r.Header)),
 		Size:        r.ContentLength,
-		Idempotent:  route.IsIdempotent(service, r.Method),
-		Key:         r.Header.Get(keyHeader),
-		Depth:       inherited.Depth,
-		RetriesLeft: inherited.Retries,
-	}
-	if err := s.readBody(r, request); err != nil {
-		return nil, ctx, cancel, err
+		Idempotent:  route.IsIdempotent(matched, service, r.Method),
+		RetriesLeft: service.Retries,
+		Route:       matched.Name,
+		MaxAttempts: matched.MaxAttempts,
+		Timeout:     matched.Timeout,
+		Priority:    matched.Priority,
 	}
-	if inherited.Budget > 0 {
-		ctx, cancel = withTimeout(ctx, cancel, inherited.Budget)
+	if matched.Objective > 0 {
+		request.Objective = time.Now().Add(matched.Objective)
 	}
-	return request, ctx, cancel, nil
+	return request
 }
 
 func withTimeout(ctx context.Context, cancel context.CancelFunc, d time.Duration) (context.Context, context.CancelFunc) {
@@ -150,19 +151,12 @@
 	}
 }
 
-func inheritedContext(h http.Header, service *vanillabarrow.Service) (message.Context, error) {
-	text := h.Get(message.ContextHeader)
-	if text == "" {
-		return message.Context{Retries: service.Retries}, nil
-	}
-	return message.ParseContext(text)
-}
-
-func (s *Server) readBody(r *http.Request, request *vanillabarrow.Request) error {
-	if len(request.Key) > idempotency.MaxKeyLength {
-		return badRequest(vanillabarrow.ReasonBadRequest, keyHeader+" is too long")
+func (s *Server) readBody(r *http.Request, request *vanillabarrow.Request, limits vanillabarrow.RequestLimits) error {
+	maxBytes := s.MaxBodyBytes
+	if limits.MaxBodyBytes > 0 {
+		maxBytes = min(maxBytes, limits.MaxBodyBytes)
 	}
-	if r.ContentLength > s.MaxBodyBytes {
+	if r.ContentLength > maxBytes {
 		return badRequest(vanillabarrow.ReasonTooLarge, message.ErrTooLarge.Error())
 	}
 	start, stream, err := message.Split(r.Body, holdBytes)
@@ -174,63 +168,17 @@
 		request.Size = int64(len(start))
 		return nil
 	}
-	request.Stream = message.NewStream(stream, s.MaxBodyBytes-int64(len(start)))
+	request.Stream = message.NewStream(stream, maxBytes-int64(len(start)))
 	return nil
 }
 
-// statuses maps reasons to HTTP statuses, for refusals that are proven not to
-// have run. Others are 503.
-var statuses = map[vanillabarrow.Reason]int{
-	vanillabarrow.ReasonNoRoute:        http.StatusNotFound,
-	vanillabarrow.ReasonBadRequest:     http.StatusBadRequest,
-	vanillabarrow.ReasonBodyIncomplete: http.StatusBadRequest,
-	vanillabarrow.ReasonTooLarge:       http.StatusRequestEntityTooLarge,
-	vanillabarrow.ReasonDuplicate:      http.StatusUnprocessableEntity,
-	vanillabarrow.ReasonTooDeep:        http.StatusLoopDetected,
-	vanillabarrow.ReasonDeadline:       http.StatusGatewayTimeout,
-}
-
-// Status returns the HTTP status for a refusal.
-func Status(r *vanillabarrow.Refusal) int {
-	if r.Verdict != vanillabarrow.VerdictNotRun {
-		switch r.Reason {
-		case vanillabarrow.ReasonDeadline:
-			return http.StatusGatewayTimeout
-		case vanillabarrow.ReasonKeyInUse, vanillabarrow.ReasonKeyUnknown:
-			return http.StatusConflict
-		default:
-			return http.StatusBadGateway
-		}
-	}
-	if status, ok := statuses[r.Reason]; ok {
-		return status
-	}
-	return http.StatusServiceUnavailable
-}
-
-// refusalBody is the JSON body of a refusal.
-type refusalBody struct {
-	Verdict string `json:"verdict"`
-	Reason  string `json:"reason"`
-	Detail  string `json:"detail,omitempty"`
-}
-
 func (s *Server) refuse(w http.ResponseWriter, r *vanillabarrow.Refusal) {
 	s.Logger.Debug("request refused", "verdict", r.Verdict, "reason", r.Reason, "detail", r.Detail)
-	h := w.Header()
-	h.Set(VerdictHeader, r.Verdict.String())
-	h.Set(ReasonHeader, string(r.Reason))
-	h.Set(RetriesHeader, strconv.Itoa(r.Retries))
-	h.Set("Content-Type", "application/json")
-	if r.RetryAfter > 0 && r.Verdict == vanillabarrow.VerdictNotRun {
-		h.Set("Retry-After", strconv.Itoa(int((r.RetryAfter+time.Second-1)/time.Second)))
+	status, body := s.Protocol.Refuse(vanillabarrow.Header(w.Header()), r)
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil {
+		s.Logger.Debug("refusal not delivered", "reason", r.Reason, "error", err)
 	}
-	w.WriteHeader(Status(r))
-	_ = json.NewEncoder(w).Encode(refusalBody{
-		Verdict: r.Verdict.String(),
-		Reason:  string(r.Reason),
-		Detail:  r.Detail,
-	})
 }
 
 // write sends the answer. One that breaks off breaks the connection, so that
@@ -238,9 +186,11 @@
 func (s *Server) write(w http.ResponseWriter, a *vanillabarrow.Answer) {
 	h := w.Header()
 	message.Copy(h, a.Header)
-	h.Set(VerdictHeader, vanillabarrow.VerdictFinished.String())
-	h.Set(AttemptsHeader, strconv.Itoa(a.Attempts))
-	h.Set(TargetHeader, a.Target)
+	s.Protocol.Answer(vanillabarrow.Header(h), a)
+	if _, ok := h["Content-Type"]; !ok {
+		// A nil value keeps the library from guessing the type.
+		h["Content-Type"] = nil
+	}
 	w.WriteHeader(a.Status)
 	_, err := w.Write(a.Body)
 	if a.Stream == nil {
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -18,6 +18,7 @@
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/message"
+	"github.com/vanillabarrow/vanillabarrow/internal/route"
 )
 
 // scripted answers as the test says and keeps the request.
@@ -54,7 +55,7 @@
 func newServer(t *testing.T, d *scripted, s *vanillabarrow.Snapshot) (*Server, string) {
 	server := New(Config{
 		Dispatcher: d, Configuration: configuration{s}, Logger: slog.New(slog.DiscardHandler),
-		NewID: func() string { return "id" }, MaxBodyBytes: maxBody, MaxInFlight: 10,
+		Protocol: NewProtocol(), Splits: route.NewSplits(), NewID: func() string { return "id" }, MaxBodyBytes: maxBody, MaxInFlight: 10,
 	})
 	ts := httptest.NewServer(server.Handler())
 	t.Cleanup(ts.Close)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// probeAfter is how long an attempt may stay without an answer before its
-	// gate is asked about it over another connection.
-	probeAfter = 300 * time.Millisecond
 	// askTimeout bounds one question.
 	askTimeout = 500 * time.Millisecond
 	// askAgain is the delay between two questions about a lost attempt.
@@ -82,7 +79,8 @@
 func faulty(reason vanillabarrow.Reason) bool {
 	switch reason {
 	case vanillabarrow.ReasonTargetDown, vanillabarrow.ReasonTargetFailed,
-		vanillabarrow.ReasonConnectionFailed, vanillabarrow.ReasonAnswerLost:
+		vanillabarrow.ReasonConnectionFailed, vanillabarrow.ReasonAnswerLost,
+		vanillabarrow.ReasonMisdirected:
 		return true
 	default:
 		return false
@@ -96,7 +94,7 @@
 	forwardCtx, cancel := context.WithCancel(ctx)
 	r := &attemptRun{dispatcher: d, attempt: a, cancel: cancel, result: make(chan outcome, 1)}
 	go r.run(forwardCtx)
-	timer := time.NewTimer(probeAfter)
+	timer := time.NewTimer(d.AskAfter)
 	defer timer.Stop()
 	for {
 		select {
@@ -108,7 +106,7 @@
 				go r.loopDiscard()
 				return out.answer, out.err
 			}
-			timer.Reset(probeAfter)
+			timer.Reset(d.AskAfter)
 		case <-ctx.Done():
 			cancel()
 			go r.loopDiscard()
--- a/internal/dispatch/chain_test.go
+++ b/internal/dispatch/chain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
@@ -59,7 +60,7 @@
 	var next *dispatch.Dispatcher
 	for i := chainDepth - 1; i >= 0; i-- {
 		hops[i] = &hop{next: next, passesBack: passesBack}
-		var policy vanillabarrow.RetryPolicy = retry.New()
+		var policy vanillabarrow.RetryPolicy = retry.New(retry.DefaultConfig())
 		if !budgets {
 			policy = unlimited{}
 		}
@@ -67,7 +68,7 @@
 			VM: "entry", DataCentre: "a", Configuration: cfg, Members: members{},
 			Balancer: balance.New(vanillabarrow.BalancerRandom), Retry: policy, Forwarder: hops[i],
 			Loads: dispatch.NewLoads(), Tokens: dispatch.NewTokens(), Scope: tally.NoopScope,
-			NewID: func() string { return "attempt" },
+			NewID: func() string { return "attempt" }, AskAfter: time.Second,
 		})
 	}
 	requests := chainRequests
@@ -85,8 +86,8 @@
 
 type unlimited struct{}
 
-func (unlimited) Observe()                        {}
-func (unlimited) Allow(vanillabarrow.Reason) bool { return true }
+func (unlimited) Observe(string)                          {}
+func (unlimited) Allow(string, vanillabarrow.Reason) bool { return true }
 
 // TestChainDoesNotMultiply overloads the last of 22 services.
 func TestChainDoesNotMultiply(t *testing.T) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -51,6 +51,9 @@
 	Scope         tally.Scope
 	// NewID returns a unique id for an attempt.
 	NewID func() string
+	// AskAfter is how long an attempt may stay without an answer before its
+	// gate is asked about it over another connection.
+	AskAfter time.Duration
 }
 
 // Dispatcher implements vanillabarrow.Dispatcher.
@@ -71,6 +74,11 @@
 	deadline time.Time
 	tried    map[string]bool
 	attempts int
+	// reached counts the attempts that may have got to a target.
+	reached int
+	// failed is an answer by which a target reported a failure of its own,
+	// while another target is tried.
+	failed *vanillabarrow.Answer
 	// retries counts attempts beyond the first, here and below.
 	retries    int
 	mayHaveRun bool
@@ -115,7 +123,11 @@
 		return f, vanillabarrow.NotRun(vanillabarrow.ReasonNoRoute, "no service "+request.Service)
 	}
 	f.service = service
-	f.deadline = time.Now().Add(service.Timeout)
+	timeout := service.Timeout
+	if request.Timeout > 0 {
+		timeout = request.Timeout
+	}
+	f.deadline = time.Now().Add(timeout)
 	if deadline, ok := ctx.Deadline(); ok && deadline.Before(f.deadline) {
 		f.deadline = deadline
 	}
@@ -139,29 +151,61 @@
 
 // attemptAll makes attempts until one ends the request.
 func (d *Dispatcher) attemptAll(ctx context.Context, f *flight) (*vanillabarrow.Answer, error) {
-	d.Retry.Observe()
+	d.Retry.Observe(f.service.Name)
 	var last *vanillabarrow.Refusal
 	for {
 		target := d.choose(f)
 		if target == nil {
-			return nil, noTarget(last)
+			return f.end(noTarget(last))
 		}
 		answer, err := d.attemptAt(ctx, f, target)
-		if err == nil {
+		if err == nil && !d.mayReplace(ctx, f, answer) {
+			f.discard()
 			return answer, nil
 		}
-		last = vanillabarrow.AsRefusal(err)
+		if err == nil {
+			f.failed = answer
+			f.tried[target.Name] = true
+			continue
+		}
+		last = keepHint(last, vanillabarrow.AsRefusal(err))
 		f.retries += last.Retries
 		if last.Verdict != vanillabarrow.VerdictNotRun {
 			f.mayHaveRun = true
 		}
 		f.tried[target.Name] = true
 		if !d.mayRetry(ctx, f, last) {
-			return nil, last
+			return f.end(last)
 		}
 	}
 }
 
+// end ends the request with the target's own failure when there is one.
+func (f *flight) end(err error) (*vanillabarrow.Answer, error) {
+	if f.failed != nil {
+		return f.failed, nil
+	}
+	return nil, err
+}
+
+// discard drops the failure that another answer replaces.
+func (f *flight) discard() {
+	if f.failed != nil && f.failed.Stream != nil {
+		_ = f.failed.Stream.Close()
+	}
+}
+
+// keepHint returns the newer refusal with the shorter of the two advised
+// delays, since any of the targets will do.
+func keepHint(last, next *vanillabarrow.Refusal) *vanillabarrow.Refusal {
+	if last == nil || last.RetryAfter == 0 || (next.RetryAfter > 0 && next.RetryAfter < last.RetryAfter) {
+		return next
+	}
+	r := *next
+	r.RetryAfter = last.RetryAfter
+	return &r
+}
+
 // attemptAt makes an attempt at the target. A refusal for a stale token brings
 // the new one, so the same target is asked again at no cost to the budget.
 func (d *Dispatcher) attemptAt(ctx context.Context, f *flight, target *vanillabarrow.Target) (*vanillabarrow.Answer, error) {
@@ -191,13 +235,16 @@
 	if last.Reason == vanillabarrow.ReasonBodyIncomplete || !replayable(f.request) {
 		return false
 	}
+	if f.request.MaxAttempts > 0 {
+		return d.mayTryNext(ctx, f, last)
+	}
 	limit := min(f.service.Retries, f.request.RetriesLeft)
 	if f.retries >= limit || ctx.Err() != nil {
 		return false
 	}
 	// Only refusals for load can multiply load; a target that left or moved
 	// is replaced without a charge.
-	if !free(last.Reason) && !d.Retry.Allow(last.Reason) {
+	if !free(last.Reason) && !d.Retry.Allow(f.service.Name, last.Reason) {
 		return false
 	}
 	f.retries++
@@ -277,7 +324,7 @@
 	candidates := make([]vanillabarrow.Candidate, 0, len(names))
 	for _, name := range names {
 		t := s.Targets[name]
-		if t.Out || f.tried[name] || !d.Members.Live(t.VM) {
+		if t.Out || t.Draining || f.tried[name] || !d.Members.Live(t.VM) {
 			continue
 		}
 		c := vanillabarrow.Candidate{Target: t, Distance: route.Distance(s, d.DataCentre, t)}
--- /dev/null
+++ b/internal/dispatch/next.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+)
+
+const (
+	// maxTries bounds the gates asked for one request. A refusal by a gate
+	// costs about a round trip.
+	maxTries = 8
+	// minTimeLeft is the time below which another target is not tried.
+	minTimeLeft = 20 * time.Millisecond
+)
+
+// mayTryNext decides on another attempt for a request whose route bounds the
+// targets that it may reach. A gate that refuses costs its target nothing, so
+// the next gate is asked at once; what reached a target is charged to the
+// budget.
+func (d *Dispatcher) mayTryNext(ctx context.Context, f *flight, last *vanillabarrow.Refusal) bool {
+	if ctx.Err() != nil || f.attempts >= maxTries || time.Until(f.deadline) < minTimeLeft {
+		return false
+	}
+	if !last.Reached() {
+		return true
+	}
+	f.reached++
+	if f.reached >= f.request.MaxAttempts || !d.Retry.Allow(f.service.Name, last.Reason) {
+		return false
+	}
+	f.retries++
+	d.Scope.Counter("retries").Inc(1)
+	return true
+}
+
+// mayReplace decides whether an answer by which the target reports a failure
+// of its own is put aside for a try at another target.
+func (d *Dispatcher) mayReplace(ctx context.Context, f *flight, answer *vanillabarrow.Answer) bool {
+	if f.request.MaxAttempts == 0 || !f.request.Idempotent || !replayable(f.request) {
+		return false
+	}
+	if answer.Status < http.StatusInternalServerError || answer.Status == http.StatusGatewayTimeout {
+		return false
+	}
+	if f.failed != nil || ctx.Err() != nil || time.Until(f.deadline) < minTimeLeft {
+		return false
+	}
+	f.reached++
+	if f.reached >= f.request.MaxAttempts || !d.Retry.Allow(f.service.Name, vanillabarrow.ReasonTargetFailed) {
+		return false
+	}
+	f.retries++
+	d.Scope.Counter("retries").Inc(1)
+	return true
+}
--- a/internal/dispatch/plugin.go
+++ b/internal/dispatch/plugin.go
@@ -10,6 +10,7 @@
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/membership"
+	"github.com/vanillabarrow/vanillabarrow/internal/settings"
 )
 
 // sweepInterval is the period at which unused rows are forgotten.
@@ -31,6 +32,7 @@
 // parts are the constructor arguments that the kernel fills in.
 type parts struct {
 	fx.In
+	Settings      settings.Settings
 	Identity      *kernel.Identity
 	Configuration vanillabarrow.Configuration
 	Members       *membership.Table
@@ -55,6 +57,7 @@
 		Tokens:        p.Tokens,
 		Scope:         p.Scope,
 		NewID:         p.Identity.NewID,
+		AskAfter:      p.Settings.Requests.AskAfter,
 	})
 }
 
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -145,7 +145,8 @@
 		Configuration: cfg,
 		Members:       members{},
 		Balancer:      balance.New(vanillabarrow.BalancerTwoChoices),
-		Retry:         retry.New(),
+		AskAfter:      300 * time.Millisecond,
+		Retry:         retry.New(retry.DefaultConfig()),
 		Forwarder:     link,
 		Loads:         link.loads,
 		Tokens:        link.tokens,
@@ -207,7 +208,7 @@
 	h.births++
 	h.life, h.cancel = context.WithCancel(context.Background())
 	h.gate = gate.New(gate.Config{
-		Target:        h.name,
+		Own:           vanillabarrow.TargetRef{Name: h.name},
 		Incarnation:   fmt.Sprintf("%s-%d", h.name, h.births),
 		Configuration: h.cfg,
 		Executor:      &executor{host: h, life: h.life},
--- /dev/null
+++ b/internal/gate/check.go
@@ -0,0 +1,62 @@
+package gate
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/retry"
+)
+
+const (
+	// checkInterval is how often the gate looks whether its target needs a
+	// health check.
+	checkInterval = 50 * time.Millisecond
+	// checkBase and checkLimit bound the delay after a failed check.
+	checkBase  = 100 * time.Millisecond
+	checkLimit = time.Second
+)
+
+// HealthSource asks the own target for its health.
+type HealthSource interface {
+	Check(ctx context.Context) (vanillabarrow.Health, error)
+}
+
+// Prober asks the target for its health when the limiter does not know whether
+// it is up or cold. Checks take a slot, so there are none otherwise.
+type Prober struct {
+	gate     *Gate
+	source   HealthSource
+	logger   *slog.Logger
+	failures int
+	notUntil time.Time
+}
+
+// NewProber returns a prober; Tick has to be called at short intervals.
+func NewProber(g *Gate, source HealthSource, logger *slog.Logger) *Prober {
+	return &Prober{gate: g, source: source, logger: logger}
+}
+
+// Tick makes a check if one is needed and due.
+func (p *Prober) Tick(ctx context.Context) {
+	now := time.Now()
+	if now.Before(p.notUntil) || !p.gate.limiter.NeedsCheck() || p.gate.own.In(p.gate.cfg.Snapshot()) == nil {
+		return
+	}
+	health, err := p.source.Check(ctx)
+	if err != nil || !health.OK {
+		p.failures++
+		p.notUntil = time.Now().Add(checkBase/2 + retry.Backoff(checkBase, checkLimit, p.failures))
+	} else {
+		p.failures = 0
+		p.notUntil = time.Now().Add(checkBase)
+	}
+	if err != nil {
+		p.logger.Debug("health check failed", "target", p.gate.targetName(), "failures", p.failures, "error", err)
+		return
+	}
+	p.gate.limiter.Learn(health, time.Now())
+	p.logger.Info("health learned", "target", p.gate.targetName(), "answeredBy", health.Target,
+		"ok", health.OK, "warming", health.Warming)
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -17,9 +18,9 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/message"
 )
 
-// Gate implements vanillabarrow.Gate for the target with the given name.
+// Gate implements vanillabarrow.Gate for the target beside the node.
 type Gate struct {
-	target   string
+	own      vanillabarrow.TargetRef
 	cfg      vanillabarrow.Configuration
 	executor vanillabarrow.Executor
 	memory   vanillabarrow.KeyMemory
@@ -41,7 +42,7 @@
 
 // Config holds what a gate is made of.
 type Config struct {
-	Target        string
+	Own           vanillabarrow.TargetRef
 	Incarnation   string
 	Configuration vanillabarrow.Configuration
 	Executor      vanillabarrow.Executor
@@ -54,7 +55,7 @@
 func New(cfg Config) *Gate {
 	now := time.Now()
 	return &Gate{
-		target:   cfg.Target,
+		own:      cfg.Own,
 		cfg:      cfg.Configuration,
 		executor: cfg.Executor,
 		memory:   cfg.Memory,
@@ -72,8 +73,8 @@
 // Leaving is set while the VM is published as leaving.
 func (g *Gate) Configure(snapshot *vanillabarrow.Snapshot, homes []string, leaving bool) {
 	g.leaving.Store(leaving)
-	if target, ok := snapshot.Targets[g.target]; ok {
-		g.limiter.SetSlots(target.Slots)
+	if target := g.own.In(snapshot); target != nil {
+		g.limiter.Configure(target, snapshot.Services[target.Service], time.Now())
 	}
 	g.homes.Set(homes, snapshot.Version, time.Now())
 }
@@ -93,7 +94,7 @@
 // Load implements vanillabarrow.Gate.
 func (g *Gate) Load() vanillabarrow.Load {
 	load := g.limiter.Load()
-	load.Draining = g.Draining() || g.isOut()
+	load.Draining = load.Draining || g.Draining() || g.isOut()
 	return load
 }
 
@@ -102,8 +103,8 @@
 	if snapshot == nil {
 		return false
 	}
-	target, ok := snapshot.Targets[g.target]
-	return !ok || target.Out
+	target := g.own.In(snapshot)
+	return target == nil || target.Out || target.Draining
 }
 
 // Ask implements vanillabarrow.Gate.
@@ -146,8 +147,6 @@
 	if attempt.Request.Idempotent {
 		return g.run(ctx, attempt)
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), attempt.Deadline)
-	defer cancel()
 	return g.runKeyed(ctx, attempt)
 }
 
@@ -169,8 +168,8 @@
 	if ctx.Err() != nil {
 		return vanillabarrow.NotRun(vanillabarrow.ReasonCanceled, "the sender gave up")
 	}
-	if attempt.Target == nil || attempt.Target.Name != g.target {
-		return vanillabarrow.NotRun(vanillabarrow.ReasonWrongTarget, "this gate guards "+g.target)
+	if err := g.checkTarget(attempt); err != nil {
+		return err
 	}
 	if g.Draining() {
 		return vanillabarrow.NotRun(vanillabarrow.ReasonDraining, "")
@@ -187,16 +186,43 @@
 	return nil
 }
 
-// run waits for a slot and sends the request to the target.
+// checkTarget refuses attempts for a target that is not beside this node.
+func (g *Gate) checkTarget(attempt *vanillabarrow.Attempt) error {
+	if attempt.Target != nil && attempt.Target.Name == g.own.Name {
+		return nil
+	}
+	if g.own.Name != "" || attempt.Target == nil {
+		return vanillabarrow.NotRun(vanillabarrow.ReasonWrongTarget, "this gate guards "+g.own.Name)
+	}
+	snapshot := g.cfg.Snapshot()
+	if snapshot == nil {
+		return vanillabarrow.NotRun(vanillabarrow.ReasonNoConfig, "")
+	}
+	// Several entries may name one address. The target itself refuses what is
+	// meant for another.
+	target := snapshot.Targets[attempt.Target.Name]
+	if target == nil || target.Address != g.own.Address {
+		return vanillabarrow.NotRun(vanillabarrow.ReasonWrongTarget, "this gate guards the target at "+g.own.Address)
+	}
+	return nil
+}
+
+// run waits for a slot and sends the request to the target. What may run only
+// once is not canceled once it has been sent.
 func (g *Gate) run(ctx context.Context, attempt *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
-	if err := g.limiter.Acquire(ctx, attempt.Deadline); err != nil {
+	admission := admissionOf(attempt)
+	if err := g.limiter.Acquire(ctx, admission); err != nil {
 		return nil, err
 	}
 	// The wait may have outlasted the reasons to run at all.
 	if err := g.check(ctx, attempt); err != nil {
-		g.limiter.Release(vanillabarrow.SignalNeutral, 0)
+		g.limiter.Release(admission, vanillabarrow.SignalNeutral, 0)
 		return nil, err
 	}
+	if !attempt.Request.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, attempt.Deadline)
 	start := time.Now()
 	answer, err := g.executor.Execute(ctx, attempt)
 	latency := time.Since(start)
@@ -204,13 +230,23 @@
 		err = g.shed(attempt, answer)
 	}
 	if err != nil {
-		g.limiter.Release(signalOf(err), latency)
+		cancel()
+		g.limiter.Release(admission, signalOf(err), latency)
 		return nil, err
 	}
-	g.release(answer, latency)
+	g.release(admission, answer, latency, cancel)
 	return answer, nil
 }
 
+func admissionOf(a *vanillabarrow.Attempt) vanillabarrow.Admission {
+	return vanillabarrow.Admission{
+		Class:     a.Request.Route,
+		Priority:  a.Request.Priority,
+		Objective: a.Request.Objective,
+		Deadline:  a.Deadline,
+	}
+}
+
 // shed turns an answer by which the target states that it did not run the
 // request into a refusal.
 func (g *Gate) shed(attempt *vanillabarrow.Attempt, answer *vanillabarrow.Answer) error {
@@ -229,18 +265,25 @@
 }
 
 // release gives the slot back once the whole answer has been read.
-func (g *Gate) release(answer *vanillabarrow.Answer, latency time.Duration) {
+func (g *Gate) release(admission vanillabarrow.Admission, answer *vanillabarrow.Answer, latency time.Duration, cancel context.CancelFunc) {
 	if answer.Stream == nil {
-		g.limiter.Release(vanillabarrow.SignalOK, latency)
+		cancel()
+		signal := vanillabarrow.SignalOK
+		if answer.Status >= http.StatusInternalServerError {
+			signal = vanillabarrow.SignalFailed
+		}
+		g.limiter.Release(admission, signal, latency)
 		return
 	}
-	answer.Stream = &releaser{ReadCloser: answer.Stream, gate: g, latency: latency}
+	answer.Stream = &releaser{ReadCloser: answer.Stream, gate: g, admission: admission, latency: latency, cancel: cancel}
 	g.running.Add(1)
 }
 
 func signalOf(err error) vanillabarrow.TargetSignal {
 	switch vanillabarrow.AsRefusal(err).Reason {
-	case vanillabarrow.ReasonTargetDown, vanillabarrow.ReasonShed, vanillabarrow.ReasonTargetFailed:
+	case vanillabarrow.ReasonTargetDown:
+		return vanillabarrow.SignalDown
+	case vanillabarrow.ReasonShed, vanillabarrow.ReasonTargetFailed:
 		return vanillabarrow.SignalRefused
 	case vanillabarrow.ReasonDeadline:
 		return vanillabarrow.SignalTimeout
--- a/internal/gate/keys.go
+++ b/internal/gate/keys.go
@@ -22,7 +22,7 @@
 	if request.Key == "" || !ok || service.KeyWindow == 0 {
 		return g.run(ctx, attempt)
 	}
-	claim := g.homes.Claim(request.Key, g.target, service.KeyWindow, time.Now())
+	claim := g.homes.Claim(request.Key, g.own.Name, service.KeyWindow, time.Now())
 	if !claim.Home {
 		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonWrongTarget, "this gate is not home to the key")
 	}
@@ -96,7 +96,7 @@
 // Surrender implements vanillabarrow.Gate.
 func (g *Gate) Surrender(q vanillabarrow.KeyQuestion) *vanillabarrow.AttemptReport {
 	snapshot := g.cfg.Snapshot()
-	if snapshot == nil || q.Target != g.target || snapshot.Version > q.Version {
+	if snapshot == nil || q.Target != g.own.Name || snapshot.Version > q.Version {
 		// A gate that is behind must not take a key from one that is ahead.
 		return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptUnknown}
 	}
--- a/internal/gate/pause.go
+++ b/internal/gate/pause.go
@@ -113,10 +113,17 @@
 	Draining bool               `json:"draining"`
 }
 
+func (g *Gate) targetName() string {
+	if target := g.own.In(g.cfg.Snapshot()); target != nil {
+		return target.Name
+	}
+	return g.own.Name
+}
+
 // State returns the state for the dump.
 func (g *Gate) State() State {
 	return State{
-		Target:   g.target,
+		Target:   g.targetName(),
 		Load:     g.Load(),
 		Running:  g.Running(),
 		Cuts:     g.limiter.Cuts(),
--- a/internal/gate/plugin.go
+++ b/internal/gate/plugin.go
@@ -12,8 +12,6 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/dispatch"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/membership"
-	"github.com/vanillabarrow/vanillabarrow/internal/relay"
-	"github.com/vanillabarrow/vanillabarrow/internal/rollout"
 )
 
 func init() {
@@ -21,7 +19,7 @@
 		Name: "gate",
 		Options: fx.Options(
 			fx.Provide(fromParts, func(g *Gate) vanillabarrow.Gate { return g }),
-			fx.Invoke(startConfigure, startWatcher),
+			fx.Invoke(startConfigure, startWatcher, startProber),
 			kernel.ProvideState(func(g *Gate) kernel.StateSource {
 				return kernel.StateSource{Name: "gate", State: func() any { return g.State() }}
 			}),
@@ -34,7 +32,7 @@
 
 func fromParts(id *kernel.Identity, cfg vanillabarrow.Configuration, executor vanillabarrow.Executor, memory vanillabarrow.KeyMemory, limiter vanillabarrow.Limiter, scope tally.Scope) *Gate {
 	return New(Config{
-		Target:        id.Target,
+		Own:           id.Own,
 		Incarnation:   id.Incarnation,
 		Configuration: cfg,
 		Executor:      executor,
@@ -47,25 +45,32 @@
 // configurer tells the gate about each change.
 type configurer struct {
 	gate    *Gate
-	table   *rollout.Table
+	rollout vanillabarrow.Rollout
 	members *membership.Table
 }
 
-func startConfigure(lc fx.Lifecycle, pool *kernel.Pool, g *Gate, table *rollout.Table, members *membership.Table) {
-	c := &configurer{gate: g, table: table, members: members}
+func startConfigure(lc fx.Lifecycle, pool *kernel.Pool, g *Gate, rollout vanillabarrow.Rollout, members *membership.Table) {
+	c := &configurer{gate: g, rollout: rollout, members: members}
 	lc.Append(fx.StartHook(func() error { return pool.SubmitWaiting("gate.configure", c.loop) }))
 }
 
-func startWatcher(lc fx.Lifecycle, pool *kernel.Pool, g *Gate, follower *relay.Follower, logger *slog.Logger) {
-	w := NewWatcher(g, follower, logger)
+func startWatcher(lc fx.Lifecycle, pool *kernel.Pool, g *Gate, rollout vanillabarrow.Rollout, logger *slog.Logger) {
+	w := NewWatcher(g, rollout, logger)
 	lc.Append(fx.StartHook(func() {
 		pool.Every(func() time.Duration { return beatInterval }, true, "gate.watcher", w.Beat)
 	}))
 }
 
+func startProber(lc fx.Lifecycle, pool *kernel.Pool, g *Gate, source HealthSource, logger *slog.Logger) {
+	p := NewProber(g, source, logger)
+	lc.Append(fx.StartHook(func() {
+		pool.Every(func() time.Duration { return checkInterval }, true, "gate.prober", p.Tick)
+	}))
+}
+
 func (c *configurer) loop(ctx context.Context) {
 	for {
-		changed := c.table.Changed()
+		changed := c.rollout.Changed()
 		c.configure()
 		select {
 		case <-changed:
@@ -76,15 +81,15 @@
 }
 
 func (c *configurer) configure() {
-	snapshot := c.table.Snapshot()
+	snapshot := c.rollout.Snapshot()
 	if snapshot == nil {
 		return
 	}
 	// The membership follows the same change in a job of its own.
-	c.members.Update(c.table.VMList(), snapshot)
+	c.members.Update(c.rollout.VMList(), snapshot)
 	var homes []string
 	leaving := false
-	if target, ok := snapshot.Targets[c.gate.target]; ok {
+	if target := c.gate.own.In(snapshot); target != nil {
 		homes = dispatch.HomesOf(snapshot, snapshot.Services[target.Service], c.members.Listed)
 		leaving = c.members.Leaving(target.VM)
 	}
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"io"
 	"sync"
 	"time"
@@ -11,16 +12,19 @@
 // releaser gives a slot back when the stream of an answer is closed.
 type releaser struct {
 	io.ReadCloser
-	gate    *Gate
-	latency time.Duration
-	once    sync.Once
+	gate      *Gate
+	admission vanillabarrow.Admission
+	latency   time.Duration
+	cancel    context.CancelFunc
+	once      sync.Once
 }
 
 // Close closes the stream and gives the slot back.
 func (r *releaser) Close() error {
 	r.once.Do(func() {
-		r.gate.limiter.Release(vanillabarrow.SignalOK, r.latency)
+		r.gate.limiter.Release(r.admission, vanillabarrow.SignalOK, r.latency)
 		r.gate.running.Add(-1)
+		r.cancel()
 	})
 	return r.ReadCloser.Close()
 }
--- a/internal/kernel/identity.go
+++ b/internal/kernel/identity.go
@@ -6,22 +6,39 @@
 	"sync/atomic"
 
 	"github.com/google/uuid"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 )
 
 // Identity names one run of a node.
 type Identity struct {
 	VM         string
 	DataCentre string
-	Target     string
+	// Own names the target beside the node.
+	Own vanillabarrow.TargetRef
 	// Incarnation is unique for each start.
 	Incarnation string
 
-	ids atomic.Uint64
+	ids     atomic.Uint64
+	service atomic.Pointer[string]
+}
+
+// Service returns the service that the callers on the VM act for, empty where
+// it does not matter.
+func (i *Identity) Service() string {
+	if s := i.service.Load(); s != nil {
+		return *s
+	}
+	return ""
 }
 
+// SetService replaces the service, which a change of the settings may do while
+// the node runs.
+func (i *Identity) SetService(service string) { i.service.Store(&service) }
+
 // NewIdentity returns an identity with a fresh incarnation.
-func NewIdentity(vm, dataCentre, target string) *Identity {
-	return &Identity{VM: vm, DataCentre: dataCentre, Target: target, Incarnation: uuid.NewString()}
+func NewIdentity(vm, dataCentre string, own vanillabarrow.TargetRef) *Identity {
+	return &Identity{VM: vm, DataCentre: dataCentre, Own: own, Incarnation: uuid.NewString()}
 }
 
 // NewID returns an id that no other node and no other run uses.
@@ -34,4 +51,6 @@
 	Caller   net.Listener
 	Peer     net.Listener
 	Operator net.Listener
+	// Ready is nil where no platform asks for readiness.
+	Ready net.Listener
 }
--- a/internal/kernel/lock.go
+++ b/internal/kernel/lock.go
@@ -9,6 +9,7 @@
 // The lock order of all shared tables, first to last.
 const (
 	RankRollout Rank = iota + 1
+	RankDiscovery
 	RankMembers
 	RankRelay
 	RankFence
@@ -17,6 +18,8 @@
 	RankLoads
 	RankTokens
 	RankRetry
+	RankSplits
+	RankTarget
 	RankPool
 )
 
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -13,7 +13,9 @@
 // Plugin is one unit of the system. Its options provide constructors and
 // lifecycle hooks.
 type Plugin struct {
-	Name    string
+	Name string
+	// Profile limits the plug-in to nodes of that profile, empty for all.
+	Profile string
 	Options fx.Option
 }
 
@@ -45,10 +47,13 @@
 	return plugins
 }
 
-// Options returns the options of all registered plug-ins.
-func Options() fx.Option {
+// Options returns the options of the registered plug-ins of a profile.
+func Options(profile string) fx.Option {
 	var options []fx.Option
 	for _, p := range Plugins() {
+		if p.Profile != "" && p.Profile != profile {
+			continue
+		}
 		options = append(options, fx.Module(p.Name, p.Options))
 	}
 	return fx.Options(options...)
--- a/internal/limit/adaptive.go
+++ b/internal/limit/adaptive.go
@@ -73,7 +73,8 @@
 }
 
 // Acquire implements vanillabarrow.Limiter.
-func (a *Adaptive) Acquire(ctx context.Context, deadline time.Time) error {
+func (a *Adaptive) Acquire(ctx context.Context, admission vanillabarrow.Admission) error {
+	deadline := admission.Deadline
 	w, err := a.enter(deadline)
 	if w == nil {
 		return err
@@ -131,7 +132,7 @@
 }
 
 // Release implements vanillabarrow.Limiter.
-func (a *Adaptive) Release(signal vanillabarrow.TargetSignal, latency time.Duration) {
+func (a *Adaptive) Release(_ vanillabarrow.Admission, signal vanillabarrow.TargetSignal, latency time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.learn(signal, latency)
@@ -153,9 +154,9 @@
 		return
 	}
 	switch signal {
-	case vanillabarrow.SignalOK:
+	case vanillabarrow.SignalOK, vanillabarrow.SignalFailed:
 		a.learnLatency(latency)
-	case vanillabarrow.SignalRefused:
+	case vanillabarrow.SignalDown, vanillabarrow.SignalRefused:
 		a.fall(startLimit)
 	case vanillabarrow.SignalTimeout:
 		a.fall(a.limit / 2)
@@ -191,7 +192,18 @@
 // current returns the limit as a whole number.
 func (a *Adaptive) current() int { return int(a.limit) }
 
-// SetSlots implements vanillabarrow.Limiter.
+// Configure implements vanillabarrow.Limiter.
+func (a *Adaptive) Configure(target *vanillabarrow.Target, _ *vanillabarrow.Service, _ time.Time) {
+	a.SetSlots(target.Slots)
+}
+
+// NeedsCheck implements vanillabarrow.Limiter. Answers alone move the limit.
+func (*Adaptive) NeedsCheck() bool { return false }
+
+// Learn implements vanillabarrow.Limiter.
+func (*Adaptive) Learn(vanillabarrow.Health, time.Time) {}
+
+// SetSlots changes the bound that the limit may climb to.
 func (a *Adaptive) SetSlots(slots int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/limit/adaptive_test.go
+++ b/internal/limit/adaptive_test.go
@@ -15,7 +15,11 @@
 
 const slots = 12
 
-func far() time.Time { return time.Now().Add(time.Hour) }
+func far() vanillabarrow.Admission { return until(time.Now().Add(time.Hour)) }
+
+func until(deadline time.Time) vanillabarrow.Admission {
+	return vanillabarrow.Admission{Deadline: deadline}
+}
 
 // warm lets the limit climb to all slots.
 func warm(t *testing.T, a *Adaptive) {
@@ -26,7 +30,7 @@
 			require.NoError(t, a.Acquire(t.Context(), far()))
 		}
 		for range n {
-			a.Release(vanillabarrow.SignalOK, 10*time.Millisecond)
+			a.Release(far(), vanillabarrow.SignalOK, 10*time.Millisecond)
 		}
 	}
 }
@@ -55,7 +59,7 @@
 			warm(t, a)
 			for range tt.times {
 				require.NoError(t, a.Acquire(t.Context(), far()))
-				a.Release(tt.signal, tt.latency)
+				a.Release(far(), tt.signal, tt.latency)
 			}
 			require.GreaterOrEqual(t, a.Load().Limit, tt.low)
 			require.LessOrEqual(t, a.Load().Limit, tt.high)
@@ -81,7 +85,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), tt.cancel)
 				defer cancel()
 				start := time.Now()
-				refusal := vanillabarrow.AsRefusal(a.Acquire(ctx, time.Now().Add(tt.deadline)))
+				refusal := vanillabarrow.AsRefusal(a.Acquire(ctx, until(time.Now().Add(tt.deadline))))
 				require.Equal(t, vanillabarrow.VerdictNotRun, refusal.Verdict)
 				require.Equal(t, tt.reason, refusal.Reason)
 				require.Equal(t, tt.after, time.Since(start))
@@ -94,9 +98,9 @@
 func TestQueueRefusesWhatCanNotBeInTime(t *testing.T) {
 	a := New(1)
 	require.NoError(t, a.Acquire(t.Context(), far()))
-	a.Release(vanillabarrow.SignalOK, 100*time.Millisecond)
+	a.Release(far(), vanillabarrow.SignalOK, 100*time.Millisecond)
 	require.NoError(t, a.Acquire(t.Context(), far()))
-	refusal := vanillabarrow.AsRefusal(a.Acquire(t.Context(), time.Now().Add(50*time.Millisecond)))
+	refusal := vanillabarrow.AsRefusal(a.Acquire(t.Context(), until(time.Now().Add(50*time.Millisecond))))
 	require.Equal(t, vanillabarrow.ReasonOverloaded, refusal.Reason)
 }
 
@@ -124,7 +128,7 @@
 		t.Skip("nothing is in flight")
 	}
 	m.inFlight--
-	m.limiter.Release(
+	m.limiter.Release(far(),
 		vanillabarrow.TargetSignal(rapid.IntRange(0, 3).Draw(t, "signal")),
 		time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms"))*time.Millisecond)
 }
@@ -155,7 +159,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		if a.Acquire(ctx, deadline) == nil {
-			a.Release(vanillabarrow.SignalOK, time.Millisecond)
+			a.Release(far(), vanillabarrow.SignalOK, time.Millisecond)
 		}
 	}
 }
@@ -164,10 +168,10 @@
 func TestGrantMeetsLeave(t *testing.T) {
 	a := New(1)
 	require.NoError(t, a.Acquire(t.Context(), far()))
-	w, err := a.enter(far())
+	w, err := a.enter(far().Deadline)
 	require.NoError(t, err)
 	require.NotNil(t, w)
-	a.Release(vanillabarrow.SignalNeutral, 0)
+	a.Release(far(), vanillabarrow.SignalNeutral, 0)
 	require.Equal(t, 1, a.Load().InFlight, "the waiter has the slot")
 	refusal := vanillabarrow.NotRun(vanillabarrow.ReasonCanceled, "")
 	require.Equal(t, refusal, a.leave(w, refusal))
--- /dev/null
+++ b/internal/limit/ordered.go
@@ -0,0 +1,416 @@
+package limit
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+)
+
+const (
+	// coldBurstShare is the share of a second's warm-up rate that a cold target
+	// gets at once, so that no sliding second holds much more than the rate.
+	coldBurstShare = 8
+	// workWeight is the weight of a new work time in a class's estimate.
+	workWeight = 0.05
+	// failureWeight is the weight of a new outcome in the failure share.
+	failureWeight = 0.05
+	// unknownWork is assumed for a class before its first answer.
+	unknownWork = 50 * time.Millisecond
+	// coldFactor is how much longer work takes at a cold target.
+	coldFactor = 2
+	// minWaiters keeps a short queue even where estimates say that nothing
+	// would be in time.
+	minWaiters = 1
+	// downRetryAfter is the delay advised while the target is down.
+	downRetryAfter = 200 * time.Millisecond
+)
+
+// Ordered admits exactly as many requests as the target has slots, and orders
+// those that wait by priority, then by whether they can still meet their
+// objective, then by deadline. It answers the load of a node that is the only
+// way to its target: what can't be served in time is refused on arrival, or as
+// soon as more urgent requests take its place. A cold target is given its
+// warm-up rate.
+type Ordered struct {
+	mu       *kernel.Mutex
+	slots    int
+	inFlight int
+	waiters  []*claim
+	work     map[string]time.Duration
+	// meanWork is the work time over all classes.
+	meanWork time.Duration
+	failures float64
+
+	warmUp    time.Duration
+	warmRate  float64
+	pace      *rate.Limiter
+	coldUntil time.Time
+	// target names the target that coldUntil is about.
+	target string
+	out    bool
+	// doubtful is set when the target may have started anew, and down when it
+	// refuses connections.
+	doubtful bool
+	down     bool
+	cuts     uint64
+	// wake runs when the pace lets the next request pass.
+	wake *time.Timer
+}
+
+// claim is a request that waits.
+type claim struct {
+	vanillabarrow.Admission
+	work time.Duration
+	// decided gets nil for a slot or the refusal.
+	decided chan error
+	expiry  *time.Timer
+}
+
+// NewOrdered returns a limiter for a target of which nothing is known. Until
+// its health is learned it counts as cold.
+func NewOrdered(slots int) *Ordered {
+	return &Ordered{
+		mu:       kernel.NewMutex(kernel.RankLimiter),
+		slots:    max(1, slots),
+		work:     map[string]time.Duration{},
+		meanWork: unknownWork,
+		pace:     rate.NewLimiter(rate.Inf, 1),
+		doubtful: true,
+	}
+}
+
+// Acquire implements vanillabarrow.Limiter.
+func (o *Ordered) Acquire(ctx context.Context, admission vanillabarrow.Admission) error {
+	c, err := o.enter(admission, time.Now())
+	if c == nil {
+		return err
+	}
+	select {
+	case err := <-c.decided:
+		return err
+	case <-ctx.Done():
+		return o.leave(c)
+	}
+}
+
+// enter admits, queues or refuses. A claim is returned for a queued request.
+func (o *Ordered) enter(admission vanillabarrow.Admission, now time.Time) (*claim, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return nil, refuse(vanillabarrow.ReasonTargetDown, "the target refuses connections", downRetryAfter)
+	}
+	c := &claim{Admission: admission, work: o.workOf(admission.Class, now), decided: make(chan error, 1)}
+	if now.Add(c.work / 2).After(admission.Deadline) {
+		return nil, refuse(vanillabarrow.ReasonOverloaded, "the deadline leaves no time to run", 0)
+	}
+	if len(o.waiters) == 0 && o.inFlight < o.slots && o.take(now) {
+		o.inFlight++
+		return nil, nil
+	}
+	at, _ := slices.BinarySearchFunc(o.waiters, c, func(a, b *claim) int { return o.order(a, b, now) })
+	wait := o.waitAt(at, now)
+	if at >= minWaiters && now.Add(wait+c.work).After(c.limit()) {
+		return nil, refuse(vanillabarrow.ReasonOverloaded, "no slot in time", wait)
+	}
+	o.waiters = slices.Insert(o.waiters, at, c)
+	c.expiry = time.AfterFunc(c.Deadline.Add(-c.work/2).Sub(now), func() { o.expire(c) })
+	o.dropLate(at+1, now)
+	o.schedule(now)
+	return c, nil
+}
+
+// limit is when a request has to be done to be worth its place: its objective,
+// or its deadline when it has none or is past it.
+func (c *claim) limit() time.Time {
+	if c.Objective.IsZero() {
+		return c.Deadline
+	}
+	return c.Objective
+}
+
+// order compares two claims: the one that goes first is less.
+func (o *Ordered) order(a, b *claim, now time.Time) int {
+	if d := cmp.Compare(a.Priority, b.Priority); d != 0 {
+		return d
+	}
+	if late := a.late(now); late != b.late(now) {
+		if late {
+			return 1
+		}
+		return -1
+	}
+	if d := a.Deadline.Compare(b.Deadline); d != 0 {
+		return d
+	}
+	// An equal claim goes behind those that wait.
+	return -1
+}
+
+// late reports whether the request can't meet its objective any more.
+func (c *claim) late(now time.Time) bool {
+	return !c.Objective.IsZero() && now.Add(c.work).After(c.Objective)
+}
+
+// workOf estimates the work time of a class.
+func (o *Ordered) workOf(class string, now time.Time) time.Duration {
+	work, ok := o.work[class]
+	if !ok {
+		work = o.meanWork
+	}
+	if now.Before(o.coldUntil) {
+		work *= coldFactor
+	}
+	return work
+}
+
+// waitAt estimates how long the claim at a place in the queue waits.
+func (o *Ordered) waitAt(at int, now time.Time) time.Duration {
+	wait := time.Duration(0)
+	ahead := at + o.inFlight - o.slots + 1
+	if ahead > 0 {
+		wait = o.meanWork * time.Duration(ahead) / time.Duration(o.slots)
+	}
+	if o.paced(now) {
+		wait = max(wait, time.Duration(float64(at+1)/float64(o.pace.Limit())*float64(time.Second)))
+	}
+	return wait
+}
+
+// dropLate refuses the claims from a place on that no longer can be done in
+// time, because something more urgent went before them.
+func (o *Ordered) dropLate(from int, now time.Time) {
+	for i := len(o.waiters) - 1; i >= max(from, minWaiters); i-- {
+		c := o.waiters[i]
+		wait := o.waitAt(i, now)
+		if !now.Add(wait + c.work).After(c.limit()) {
+			continue
+		}
+		o.waiters = slices.Delete(o.waiters, i, i+1)
+		c.end(refuse(vanillabarrow.ReasonOverloaded, "more urgent requests took the place", wait))
+	}
+}
+
+// end tells the waiting request its outcome.
+func (c *claim) end(err error) {
+	c.expiry.Stop()
+	c.decided <- err
+}
+
+// expire refuses a claim that can't be done any more.
+func (o *Ordered) expire(c *claim) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if i := slices.Index(o.waiters, c); i >= 0 {
+		o.waiters = slices.Delete(o.waiters, i, i+1)
+		c.end(refuse(vanillabarrow.ReasonOverloaded, "no slot before the deadline", 0))
+	}
+}
+
+// leave takes a claim out whose sender gave up. A slot granted meanwhile is
+// passed on.
+func (o *Ordered) leave(c *claim) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	refusal := vanillabarrow.NotRun(vanillabarrow.ReasonCanceled, "canceled while waiting")
+	if i := slices.Index(o.waiters, c); i >= 0 {
+		o.waiters = slices.Delete(o.waiters, i, i+1)
+		c.expiry.Stop()
+		return refusal
+	}
+	if err := <-c.decided; err != nil {
+		return err
+	}
+	o.inFlight--
+	o.grant(time.Now())
+	return refusal
+}
+
+// Release implements vanillabarrow.Limiter.
+func (o *Ordered) Release(admission vanillabarrow.Admission, signal vanillabarrow.TargetSignal, latency time.Duration) {
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.inFlight--
+	o.learn(admission.Class, signal, latency)
+	o.grant(now)
+}
+
+func (o *Ordered) learn(class string, signal vanillabarrow.TargetSignal, latency time.Duration) {
+	failed := 0.0
+	switch signal {
+	case vanillabarrow.SignalOK:
+		o.down = false
+		o.learnWork(class, latency)
+	case vanillabarrow.SignalFailed:
+		failed = 1
+	case vanillabarrow.SignalTimeout:
+		failed = 1
+		o.cuts++
+	case vanillabarrow.SignalRefused:
+		failed = 1
+		o.doubtful = true
+		o.cuts++
+	case vanillabarrow.SignalDown:
+		failed = 1
+		o.doubtful = true
+		o.cuts++
+		o.fall()
+	case vanillabarrow.SignalNeutral:
+		return
+	}
+	o.failures += failureWeight * (failed - o.failures)
+}
+
+// fall refuses everything until the target is known to be up again.
+func (o *Ordered) fall() {
+	if o.down {
+		return
+	}
+	o.down = true
+	for _, c := range o.waiters {
+		c.end(refuse(vanillabarrow.ReasonTargetDown, "the target refuses connections", downRetryAfter))
+	}
+	o.waiters = nil
+}
+
+func (o *Ordered) learnWork(class string, latency time.Duration) {
+	old, ok := o.work[class]
+	if !ok {
+		old = latency
+	}
+	o.work[class] = old + time.Duration(workWeight*float64(latency-old))
+	o.meanWork += time.Duration(workWeight * float64(latency-o.meanWork))
+}
+
+// grant gives free slots to those who wait.
+func (o *Ordered) grant(now time.Time) {
+	for len(o.waiters) > 0 && o.inFlight < o.slots && o.take(now) {
+		best := o.first(now)
+		c := o.waiters[best]
+		o.waiters = slices.Delete(o.waiters, best, best+1)
+		o.inFlight++
+		c.end(nil)
+	}
+	o.schedule(now)
+}
+
+// first returns the place of the claim that goes next. Claims that became late
+// while they waited stand before others of their priority that are not.
+func (o *Ordered) first(now time.Time) int {
+	best := 0
+	for i := range o.waiters {
+		if o.order(o.waiters[i], o.waiters[best], now) < 0 && i != best {
+			best = i
+		}
+	}
+	return best
+}
+
+// paced reports whether the warm-up rate applies.
+func (o *Ordered) paced(now time.Time) bool {
+	return o.warmRate > 0 && (o.doubtful || now.Before(o.coldUntil))
+}
+
+// take takes one request from the pace of a cold target.
+func (o *Ordered) take(now time.Time) bool {
+	return !o.paced(now) || o.pace.AllowN(now, 1)
+}
+
+// schedule wakes the queue when the pace lets the next request pass.
+func (o *Ordered) schedule(now time.Time) {
+	if len(o.waiters) == 0 || o.inFlight >= o.slots || !o.paced(now) {
+		return
+	}
+	r := o.pace.ReserveN(now, 1)
+	delay := r.DelayFrom(now)
+	r.CancelAt(now)
+	if o.wake != nil {
+		o.wake.Stop()
+	}
+	o.wake = time.AfterFunc(delay+time.Millisecond, o.awake)
+}
+
+func (o *Ordered) awake() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.grant(time.Now())
+}
+
+// Configure implements vanillabarrow.Limiter.
+func (o *Ordered) Configure(target *vanillabarrow.Target, service *vanillabarrow.Service, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.slots = max(1, target.Slots)
+	if service != nil && service.WarmUpRate > 0 && service.WarmUpRate != o.warmRate {
+		o.warmUp, o.warmRate = service.WarmUp, service.WarmUpRate
+		o.pace = rate.NewLimiter(rate.Limit(o.warmRate), max(1, int(o.warmRate/coldBurstShare)))
+		// What a former process sent in the last second is not known.
+		o.pace.AllowN(now, o.pace.Burst())
+	}
+	if target.Name != o.target || o.out && !target.Out {
+		// Another target, or one that operators gave back, may be cold.
+		o.target, o.doubtful = target.Name, true
+	}
+	o.out = target.Out
+	if target.ColdUntil.After(o.coldUntil) {
+		o.coldUntil = target.ColdUntil
+	}
+	o.grant(now)
+}
+
+// NeedsCheck implements vanillabarrow.Limiter.
+func (o *Ordered) NeedsCheck() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.doubtful || o.down
+}
+
+// Learn implements vanillabarrow.Limiter.
+func (o *Ordered) Learn(health vanillabarrow.Health, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.down = false
+	if health.OK {
+		o.doubtful = false
+		o.coldUntil = now.Add(health.Warming)
+	}
+	o.grant(now)
+}
+
+// Load implements vanillabarrow.Limiter.
+func (o *Ordered) Load() vanillabarrow.Load {
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	load := vanillabarrow.Load{
+		InFlight:       o.inFlight,
+		Queued:         len(o.waiters),
+		Limit:          o.slots,
+		Draining:       o.down,
+		FailurePercent: int(100 * o.failures),
+	}
+	if len(o.waiters) > 0 || o.inFlight >= o.slots {
+		load.Wait = o.waitAt(len(o.waiters), now)
+	}
+	return load
+}
+
+// Cuts implements vanillabarrow.Limiter.
+func (o *Ordered) Cuts() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.cuts
+}
+
+func refuse(reason vanillabarrow.Reason, detail string, retryAfter time.Duration) error {
+	r := vanillabarrow.NotRun(reason, detail)
+	r.RetryAfter = retryAfter
+	return r
+}
--- a/internal/limit/plugin.go
+++ b/internal/limit/plugin.go
@@ -23,6 +23,8 @@
 		return New(startSlots), nil
 	case vanillabarrow.LimiterFixed:
 		return NewFixed(startSlots), nil
+	case vanillabarrow.LimiterOrdered:
+		return NewOrdered(startSlots), nil
 	}
 	return nil, fmt.Errorf("limiter: no limiter is named %q", s.Limiter)
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -53,13 +53,13 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			require.Equal(t, tt.parents, Parents(tt.rank))
-			require.Equal(t, tt.depth, Depth(tt.rank))
+			require.Equal(t, tt.parents, Parents(tt.rank, Readers))
+			require.Equal(t, tt.depth, Depth(tt.rank, Readers))
 		})
 	}
 	children := map[int]int{}
 	for rank := range 220 {
-		for _, p := range Parents(rank) {
+		for _, p := range Parents(rank, Readers) {
 			require.Less(t, p, rank)
 			children[p]++
 		}
@@ -94,7 +94,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			table := New("vm-0", "dc0")
+			table := New("vm-0", "dc0", Readers)
 			changed := table.Changed()
 			table.Update(list(tt.states), nil)
 			<-changed
@@ -112,7 +112,7 @@
 
 func TestSuspicionPasses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := New("vm-0", "dc0")
+		table := New("vm-0", "dc0", Readers)
 		table.Update(list(nil), nil)
 		table.Suspect("vm-1")
 		table.Suspect("unknown")
@@ -126,7 +126,7 @@
 }
 
 func TestSnapshotStandsInForTheList(t *testing.T) {
-	table := New("vm-0", "a")
+	table := New("vm-0", "a", Readers)
 	table.Update(nil, &vanillabarrow.Snapshot{VMs: map[string]*vanillabarrow.VM{"vm-0": {Name: "vm-0", DataCentre: "a"}}})
 	require.Equal(t, 0, table.View().Rank)
 	require.True(t, table.Live("another"), "nothing is known against it")
--- a/internal/membership/plugin.go
+++ b/internal/membership/plugin.go
@@ -4,6 +4,7 @@
 	"go.uber.org/fx"
 
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/settings"
 )
 
 // state is what the membership shows in the state dump.
@@ -16,7 +17,9 @@
 	kernel.Register(kernel.Plugin{
 		Name: "membership",
 		Options: fx.Options(
-			fx.Provide(func(id *kernel.Identity) *Table { return New(id.VM, id.DataCentre) }),
+			fx.Provide(func(id *kernel.Identity, s settings.Settings) *Table {
+				return New(id.VM, id.DataCentre, s.Platform.Readers)
+			}),
 			kernel.ProvideState(func(t *Table) kernel.StateSource {
 				return kernel.StateSource{Name: "membership", State: func() any {
 					return state{View: t.View(), Suspects: t.Suspects()}
--- a/internal/membership/ranking.go
+++ b/internal/membership/ranking.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// Readers is the number of nodes in a data centre that watch the platform.
+	// Readers is the usual number of nodes in a data centre that watch the
+	// platform.
 	Readers = 3
 	// FanOut is the number of children of a node in the relay tree.
 	FanOut = 8
@@ -49,28 +50,29 @@
 	return d.Sum64()
 }
 
-// IsReader reports whether the rank, counted from 0, reads the platform.
-func IsReader(rank int) bool { return rank < Readers }
-
-// Parents returns the ranks of the two parents of a rank, none for a reader.
+// Parents returns the ranks of the parents of a rank: none for one of the
+// readers, which are the first ranks, and two where there are two before it.
 // Parents have lower ranks, so the tree has no cycle.
-func Parents(rank int) []int {
-	if IsReader(rank) {
+func Parents(rank, readers int) []int {
+	if rank < readers {
 		return nil
 	}
-	first := (rank - Readers) / FanOut
+	first := (rank - readers) / FanOut
 	second := first + 1
 	if second >= rank {
 		second = first - 1
 	}
+	if second < 0 {
+		return []int{first}
+	}
 	return []int{first, second}
 }
 
 // Depth returns the number of hops from the platform to the rank.
-func Depth(rank int) int {
+func Depth(rank, readers int) int {
 	depth := 1
-	for !IsReader(rank) {
-		rank = (rank - Readers) / FanOut
+	for rank >= readers {
+		rank = (rank - readers) / FanOut
 		depth++
 	}
 	return depth
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -43,6 +43,7 @@
 	mu         *kernel.Mutex
 	vm         string
 	dataCentre string
+	readers    int
 	peers      map[string]Peer
 	states     map[string]vanillabarrow.VMState
 	listed     bool
@@ -51,12 +52,14 @@
 	changed    chan struct{}
 }
 
-// New returns a table for the node on the given VM.
-func New(vm, dataCentre string) *Table {
+// New returns a table for the node on the given VM. Readers is the number of
+// nodes in a data centre that watch the platform.
+func New(vm, dataCentre string, readers int) *Table {
 	return &Table{
 		mu:         kernel.NewMutex(kernel.RankMembers),
 		vm:         vm,
 		dataCentre: dataCentre,
+		readers:    readers,
 		peers:      map[string]Peer{},
 		states:     map[string]vanillabarrow.VMState{},
 		suspects:   map[string]time.Time{},
@@ -112,7 +115,7 @@
 	own := Rank(t.dataCentre, byDataCentre[t.dataCentre])
 	v := View{Rank: slices.Index(own, t.vm), Size: len(own), Fleet: len(t.peers)}
 	for dc, names := range byDataCentre {
-		v.FleetReaders += min(Readers, len(names))
+		v.FleetReaders += min(t.readers, len(names))
 		if dc != t.dataCentre {
 			v.Remote = append(v.Remote, t.firstRanks(dc, names)...)
 		}
@@ -122,9 +125,9 @@
 		v.Above = t.peersOf(own)
 		return v
 	}
-	v.Reader = IsReader(v.Rank)
+	v.Reader = v.Rank < t.readers
 	v.Above = t.peersOf(own[:v.Rank])
-	for _, rank := range Parents(v.Rank) {
+	for _, rank := range Parents(v.Rank, t.readers) {
 		v.Parents = append(v.Parents, t.peers[own[rank]])
 	}
 	return v
@@ -132,7 +135,7 @@
 
 func (t *Table) firstRanks(dc string, names []string) []Peer {
 	ranked := Rank(dc, names)
-	return t.peersOf(ranked[:min(Readers, len(ranked))])
+	return t.peersOf(ranked[:min(t.readers, len(ranked))])
 }
 
 func (t *Table) peersOf(names []string) []Peer {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// leaveNotice is the time between the announcement of a stop and the closing
-	// of the listeners, in which callers and nodes move on.
-	leaveNotice = time.Second
 	// reportInterval is the period at which metrics are collected.
 	reportInterval = 2 * time.Second
 )
@@ -33,6 +30,8 @@
 	settings settings.Settings
 	drainers []kernel.Drainer
 	server   *operator.Server
+	identity *kernel.Identity
+	logger   *slog.Logger
 }
 
 // Listen opens the listeners that the settings name.
@@ -46,7 +45,11 @@
 		{"listen.caller", s.Listen.Caller, &listeners.Caller},
 		{"listen.peer", s.Listen.Peer, &listeners.Peer},
 		{"listen.operator", s.Listen.Operator, &listeners.Operator},
+		{"listen.ready", s.Listen.Ready, &listeners.Ready},
 	} {
+		if l.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			Close(listeners)
@@ -59,7 +62,7 @@
 
 // Close closes listeners that no node has taken over.
 func Close(listeners kernel.Listeners) {
-	for _, l := range []net.Listener{listeners.Caller, listeners.Peer, listeners.Operator} {
+	for _, l := range []net.Listener{listeners.Caller, listeners.Peer, listeners.Operator, listeners.Ready} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -68,18 +71,20 @@
 
 // New returns a node that serves on the listeners once started.
 func New(s settings.Settings, listeners kernel.Listeners, logger *slog.Logger) (*Node, error) {
-	n := &Node{settings: s}
+	n := &Node{settings: s, logger: logger}
 	n.app = fx.New(
 		fx.NopLogger,
 		fx.Supply(s, listeners, logger),
 		fx.Provide(
 			func() *kernel.Identity {
-				return kernel.NewIdentity(s.Node.VM, s.Node.DataCentre, s.Node.Target)
+				id := kernel.NewIdentity(s.Node.VM, s.Node.DataCentre, s.Node.Own())
+				id.SetService(s.Node.Service)
+				return id
 			},
 			newPool, newMetrics, kernel.NewTraffic,
 		),
-		kernel.Options(),
-		fx.Invoke(func(p collected) { n.drainers, n.server = p.Drainers, p.Server }),
+		kernel.Options(s.Profile),
+		fx.Invoke(func(p collected) { n.drainers, n.server, n.identity = p.Drainers, p.Server, p.Identity }),
 	)
 	return n, n.app.Err()
 }
@@ -89,6 +94,7 @@
 	fx.In
 	Drainers []kernel.Drainer `group:"drainers"`
 	Server   *operator.Server
+	Identity *kernel.Identity
 }
 
 func newPool(lc fx.Lifecycle, logger *slog.Logger) *kernel.Pool {
@@ -125,7 +131,7 @@
 	for _, d := range n.drainers {
 		d.Drain()
 	}
-	timer := time.NewTimer(leaveNotice)
+	timer := time.NewTimer(n.settings.LeaveNotice)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -136,5 +142,14 @@
 	return n.app.Stop(ctx)
 }
 
+// Reload takes over what can change while the node runs: the service that the
+// callers on the VM act for. Everything else takes effect at the next start.
+func (n *Node) Reload(s settings.Settings) {
+	old := n.identity.Service()
+	n.identity.SetService(s.Node.Service)
+	restart := s.Node.Own() != n.settings.Node.Own() || s.Listen != n.settings.Listen
+	n.logger.Info("settings reloaded", "service", s.Node.Service, "before", old, "needsRestart", restart)
+}
+
 // Status returns the node's status.
 func (n *Node) Status() operator.Status { return n.server.Status() }
--- a/internal/node/plugins.go
+++ b/internal/node/plugins.go
@@ -4,6 +4,7 @@
 	// Plug-ins register themselves when they are imported.
 	_ "github.com/vanillabarrow/vanillabarrow/internal/balance"
 	_ "github.com/vanillabarrow/vanillabarrow/internal/caller"
+	_ "github.com/vanillabarrow/vanillabarrow/internal/discovery"
 	_ "github.com/vanillabarrow/vanillabarrow/internal/dispatch"
 	_ "github.com/vanillabarrow/vanillabarrow/internal/gate"
 	_ "github.com/vanillabarrow/vanillabarrow/internal/limit"
@@ -15,4 +16,5 @@
 	_ "github.com/vanillabarrow/vanillabarrow/internal/retry"
 	_ "github.com/vanillabarrow/vanillabarrow/internal/rollout"
 	_ "github.com/vanillabarrow/vanillabarrow/internal/target"
+	_ "github.com/vanillabarrow/vanillabarrow/platform"
 )
--- a/internal/operator/plugin.go
+++ b/internal/operator/plugin.go
@@ -6,11 +6,10 @@
 
 	"go.uber.org/fx"
 
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/gate"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/membership"
-	"github.com/vanillabarrow/vanillabarrow/internal/relay"
-	"github.com/vanillabarrow/vanillabarrow/internal/rollout"
 	"github.com/vanillabarrow/vanillabarrow/internal/settings"
 )
 
@@ -25,9 +24,8 @@
 type parts struct {
 	fx.In
 	Identity *kernel.Identity
-	Table    *rollout.Table
+	Rollout  vanillabarrow.Rollout
 	Members  *membership.Table
-	Follower *relay.Follower
 	Gate     *gate.Gate
 	Traffic  *kernel.Traffic
 	Metrics  http.Handler
@@ -38,9 +36,8 @@
 func provide(p parts) *Server {
 	return New(Config{
 		Identity: p.Identity,
-		Table:    p.Table,
+		Rollout:  p.Rollout,
 		Members:  p.Members,
-		Follower: p.Follower,
 		Gate:     p.Gate,
 		Traffic:  p.Traffic,
 		Metrics:  p.Metrics,
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -14,8 +14,6 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/gate"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/membership"
-	"github.com/vanillabarrow/vanillabarrow/internal/relay"
-	"github.com/vanillabarrow/vanillabarrow/internal/rollout"
 )
 
 // Status is what a node says about itself in brief.
@@ -26,12 +24,12 @@
 	Ready      bool   `json:"ready"`
 	Draining   bool   `json:"draining"`
 	// Out is set when the rules in force take the target out.
-	Out     bool                  `json:"out"`
-	Version vanillabarrow.Version `json:"version"`
-	Rollout rollout.Status        `json:"rollout"`
-	View    membership.View       `json:"view"`
-	Parents []string              `json:"parents"`
-	Load    vanillabarrow.Load    `json:"load"`
+	Out     bool                        `json:"out"`
+	Version vanillabarrow.Version       `json:"version"`
+	Rollout vanillabarrow.RolloutStatus `json:"rollout"`
+	View    membership.View             `json:"view"`
+	Parents []string                    `json:"parents"`
+	Load    vanillabarrow.Load          `json:"load"`
 	// AgeSeconds is the time since a source last confirmed the version.
 	AgeSeconds    float64 `json:"ageSeconds"`
 	UptimeSeconds float64 `json:"uptimeSeconds"`
@@ -44,9 +42,8 @@
 // Config holds what a server is made of.
 type Config struct {
 	Identity *kernel.Identity
-	Table    *rollout.Table
+	Rollout  vanillabarrow.Rollout
 	Members  *membership.Table
-	Follower *relay.Follower
 	Gate     *gate.Gate
 	Traffic  *kernel.Traffic
 	Metrics  http.Handler
@@ -81,20 +78,23 @@
 	status := Status{
 		VM:            s.Identity.VM,
 		DataCentre:    s.Identity.DataCentre,
-		Target:        s.Identity.Target,
-		Ready:         s.Follower.IsReady(),
+		Target:        s.Identity.Own.Name,
+		Ready:         s.Rollout.IsReady(),
 		Draining:      s.Gate.Draining(),
-		Rollout:       s.Table.Status(),
+		Rollout:       s.Rollout.Status(),
 		View:          s.Members.View(),
-		Parents:       s.Follower.Parents(),
+		Parents:       s.Rollout.Parents(),
 		Load:          s.Gate.Load(),
 		UptimeSeconds: now.Sub(s.start).Seconds(),
 	}
 	status.ControlReceived, status.ControlSent = s.Traffic.Bytes()
-	if snapshot := s.Table.Snapshot(); snapshot != nil {
+	if snapshot := s.Rollout.Snapshot(); snapshot != nil {
 		status.Version = snapshot.Version
-		target, ok := snapshot.Targets[s.Identity.Target]
-		status.Out = !ok || target.Out
+		target := s.Identity.Own.In(snapshot)
+		status.Out = target == nil || target.Out
+		if target != nil {
+			status.Target = target.Name
+		}
 	}
 	if !status.Rollout.ConfirmedAt.IsZero() {
 		status.AgeSeconds = now.Sub(status.Rollout.ConfirmedAt).Seconds()
@@ -113,7 +113,7 @@
 }
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
-	if !s.Follower.IsReady() || s.Gate.Draining() {
+	if !s.Rollout.IsReady() || s.Gate.Draining() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/peer/controlv1/controlv1connect/control.connect.go
+++ b/internal/peer/controlv1/controlv1connect/control.connect.go
@@ -26,6 +26,8 @@
 	RelayName = "vanillabarrow.control.v1.Relay"
 	// FenceName is the fully-qualified name of the Fence service.
 	FenceName = "vanillabarrow.control.v1.Fence"
+	// DiscoveryName is the fully-qualified name of the Discovery service.
+	DiscoveryName = "vanillabarrow.control.v1.Discovery"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -46,6 +48,10 @@
 	FenceAskProcedure = "/vanillabarrow.control.v1.Fence/Ask"
 	// FenceSurrenderProcedure is the fully-qualified name of the Fence's Surrender RPC.
 	FenceSurrenderProcedure = "/vanillabarrow.control.v1.Fence/Surrender"
+	// DiscoveryFollowProcedure is the fully-qualified name of the Discovery's Follow RPC.
+	DiscoveryFollowProcedure = "/vanillabarrow.control.v1.Discovery/Follow"
+	// DiscoveryPullProcedure is the fully-qualified name of the Discovery's Pull RPC.
+	DiscoveryPullProcedure = "/vanillabarrow.control.v1.Discovery/Pull"
 )
 
 // RelayClient is a client for the vanillabarrow.control.v1.Relay service.
@@ -275,3 +281,103 @@
 func (UnimplementedFenceHandler) Surrender(context.Context, *connect.Request[controlv1.SurrenderRequest]) (*connect.Response[controlv1.AskReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanillabarrow.control.v1.Fence.Surrender is not implemented"))
 }
+
+// DiscoveryClient is a client for the vanillabarrow.control.v1.Discovery service.
+type DiscoveryClient interface {
+	// Follow streams what changed since the cursor, until either side ends it.
+	Follow(context.Context, *connect.Request[controlv1.FollowRequest]) (*connect.ServerStreamForClient[controlv1.Delta], error)
+	// Pull returns what changed since the cursor.
+	Pull(context.Context, *connect.Request[controlv1.FollowRequest]) (*connect.Response[controlv1.Delta], error)
+}
+
+// NewDiscoveryClient constructs a client for the vanillabarrow.control.v1.Discovery service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewDiscoveryClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) DiscoveryClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	discoveryMethods := controlv1.File_control_proto.Services().ByName("Discovery").Methods()
+	return &discoveryClient{
+		follow: connect.NewClient[controlv1.FollowRequest, controlv1.Delta](
+			httpClient,
+			baseURL+DiscoveryFollowProcedure,
+			connect.WithSchema(discoveryMethods.ByName("Follow")),
+			connect.WithClientOptions(opts...),
+		),
+		pull: connect.NewClient[controlv1.FollowRequest, controlv1.Delta](
+			httpClient,
+			baseURL+DiscoveryPullProcedure,
+			connect.WithSchema(discoveryMethods.ByName("Pull")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// discoveryClient implements DiscoveryClient.
+type discoveryClient struct {
+	follow *connect.Client[controlv1.FollowRequest, controlv1.Delta]
+	pull   *connect.Client[controlv1.FollowRequest, controlv1.Delta]
+}
+
+// Follow calls vanillabarrow.control.v1.Discovery.Follow.
+func (c *discoveryClient) Follow(ctx context.Context, req *connect.Request[controlv1.FollowRequest]) (*connect.ServerStreamForClient[controlv1.Delta], error) {
+	return c.follow.CallServerStream(ctx, req)
+}
+
+// Pull calls vanillabarrow.control.v1.Discovery.Pull.
+func (c *discoveryClient) Pull(ctx context.Context, req *connect.Request[controlv1.FollowRequest]) (*connect.Response[controlv1.Delta], error) {
+	return c.pull.CallUnary(ctx, req)
+}
+
+// DiscoveryHandler is an implementation of the vanillabarrow.control.v1.Discovery service.
+type DiscoveryHandler interface {
+	// Follow streams what changed since the cursor, until either side ends it.
+	Follow(context.Context, *connect.Request[controlv1.FollowRequest], *connect.ServerStream[controlv1.Delta]) error
+	// Pull returns what changed since the cursor.
+	Pull(context.Context, *connect.Request[controlv1.FollowRequest]) (*connect.Response[controlv1.Delta], error)
+}
+
+// NewDiscoveryHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewDiscoveryHandler(svc DiscoveryHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	discoveryMethods := controlv1.File_control_proto.Services().ByName("Discovery").Methods()
+	discoveryFollowHandler := connect.NewServerStreamHandler(
+		DiscoveryFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(discoveryMethods.ByName("Follow")),
+		connect.WithHandlerOptions(opts...),
+	)
+	discoveryPullHandler := connect.NewUnaryHandler(
+		DiscoveryPullProcedure,
+		svc.Pull,
+		connect.WithSchema(discoveryMethods.ByName("Pull")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/vanillabarrow.control.v1.Discovery/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case DiscoveryFollowProcedure:
+			discoveryFollowHandler.ServeHTTP(w, r)
+		case DiscoveryPullProcedure:
+			discoveryPullHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedDiscoveryHandler returns CodeUnimplemented from all methods.
+type UnimplementedDiscoveryHandler struct{}
+
+func (UnimplementedDiscoveryHandler) Follow(context.Context, *connect.Request[controlv1.FollowRequest], *connect.ServerStream[controlv1.Delta]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("vanillabarrow.control.v1.Discovery.Follow is not implemented"))
+}
+
+func (UnimplementedDiscoveryHandler) Pull(context.Context, *connect.Request[controlv1.FollowRequest]) (*connect.Response[controlv1.Delta], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanillabarrow.control.v1.Discovery.Pull is not implemented"))
+}
--- a/internal/peer/plugin.go
+++ b/internal/peer/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"time"
 
 	"go.uber.org/fx"
@@ -10,8 +11,6 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/dispatch"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/membership"
-	"github.com/vanillabarrow/vanillabarrow/internal/relay"
-	"github.com/vanillabarrow/vanillabarrow/internal/rollout"
 )
 
 // maxHeaderBytes bounds the header of a forwarded request.
@@ -22,7 +21,7 @@
 		Name: "peer",
 		Options: fx.Options(
 			fx.Provide(
-				provideForwarder, provideRelayClient, NewRelayServer, NewServer,
+				provideForwarder, NewServer,
 				func(o *observer) Observer { return o },
 				newObserver,
 				func(t *kernel.Traffic) vanillabarrow.KeyMemory { return NewKeyMemory(t) },
@@ -30,12 +29,31 @@
 			fx.Invoke(serve),
 		),
 	})
+	kernel.Register(kernel.Plugin{
+		Name:    "peer.relay",
+		Profile: vanillabarrow.ProfileInventory,
+		Options: fx.Provide(provideRelayClient, NewRelayServer,
+			func(s *RelayServer) Distribution { return s }),
+	})
+	kernel.Register(kernel.Plugin{
+		Name:    "peer.discovery",
+		Profile: vanillabarrow.ProfileStore,
+		Options: fx.Provide(provideDiscoveryClient, NewDiscoveryServer,
+			func(s *DiscoveryServer) Distribution { return s }),
+	})
+}
+
+// Distribution serves the control messages by which nodes pass on what is
+// published.
+type Distribution interface {
+	// Mount returns the path of the service and its handler.
+	Mount() (string, http.Handler)
 }
 
-func provideForwarder(lc fx.Lifecycle, id *kernel.Identity, o Observer, t *kernel.Traffic) vanillabarrow.Forwarder {
+func provideForwarder(lc fx.Lifecycle, id *kernel.Identity, o Observer, t *kernel.Traffic, gate vanillabarrow.Gate, listeners kernel.Listeners) vanillabarrow.Forwarder {
 	f := NewForwarder(id.VM, o, t)
 	lc.Append(fx.StopHook(f.Close))
-	return f
+	return NewLocalForwarder(f, listeners.Peer.Addr().String(), gate, o)
 }
 
 func provideRelayClient(lc fx.Lifecycle, id *kernel.Identity, t *kernel.Traffic) vanillabarrow.Relay {
@@ -44,22 +62,27 @@
 	return c
 }
 
-func serve(lc fx.Lifecycle, s *Server, relays *RelayServer, listeners kernel.Listeners, logger *slog.Logger) {
-	server := kernel.NewHTTPServer("peer", listeners.Peer, s.Handler(relays), maxHeaderBytes, logger)
+func provideDiscoveryClient(lc fx.Lifecycle, id *kernel.Identity, t *kernel.Traffic) vanillabarrow.ItemRelay {
+	c := NewDiscoveryClient(id.VM, t)
+	lc.Append(fx.StopHook(c.Close))
+	return c
+}
+
+func serve(lc fx.Lifecycle, s *Server, distribution Distribution, listeners kernel.Listeners, logger *slog.Logger) {
+	server := kernel.NewHTTPServer("peer", listeners.Peer, s.Handler(distribution), maxHeaderBytes, logger)
 	lc.Append(server.Hook())
 }
 
 // observer passes what answers tell to the tables that keep it.
 type observer struct {
-	loads    *dispatch.Loads
-	tokens   *dispatch.Tokens
-	members  *membership.Table
-	table    *rollout.Table
-	follower *relay.Follower
+	loads   *dispatch.Loads
+	tokens  *dispatch.Tokens
+	members *membership.Table
+	rollout vanillabarrow.Rollout
 }
 
-func newObserver(loads *dispatch.Loads, tokens *dispatch.Tokens, members *membership.Table, table *rollout.Table, follower *relay.Follower) *observer {
-	return &observer{loads: loads, tokens: tokens, members: members, table: table, follower: follower}
+func newObserver(loads *dispatch.Loads, tokens *dispatch.Tokens, members *membership.Table, rollout vanillabarrow.Rollout) *observer {
+	return &observer{loads: loads, tokens: tokens, members: members, rollout: rollout}
 }
 
 // Report implements Observer.
@@ -73,15 +96,15 @@
 // SeenVersion implements Observer. A node that is behind pulls from the one
 // that is ahead.
 func (o *observer) SeenVersion(vm string, version vanillabarrow.Version) {
-	snapshot := o.table.Snapshot()
+	snapshot := o.rollout.Snapshot()
 	if snapshot == nil || version <= snapshot.Version {
 		return
 	}
 	// A version that was rejected here is held all the same.
-	if version <= o.table.HeldVersion(vanillabarrow.TopicConfig) {
+	if version <= o.rollout.HeldVersion() {
 		return
 	}
 	if address := o.members.Address(vm); address != "" {
-		o.follower.Hint(address)
+		o.rollout.Hint(address)
 	}
 }
--- a/internal/peer/relay_server.go
+++ b/internal/peer/relay_server.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
 	"connectrpc.com/connect"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1"
+	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1/controlv1connect"
 	"github.com/vanillabarrow/vanillabarrow/internal/relay"
 )
 
@@ -19,6 +21,11 @@
 // NewRelayServer returns a server in front of the relay.
 func NewRelayServer(server *relay.Server) *RelayServer { return &RelayServer{server: server} }
 
+// Mount implements Distribution.
+func (s *RelayServer) Mount() (string, http.Handler) {
+	return controlv1connect.NewRelayHandler(s, uncompressed...)
+}
+
 // Peek implements the Relay service.
 func (s *RelayServer) Peek(context.Context, *connect.Request[controlv1.PeekRequest]) (*connect.Response[controlv1.PeekReply], error) {
 	reply := &controlv1.PeekReply{}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -42,9 +42,9 @@
 }
 
 // Handler returns the handler of the peer listener.
-func (s *Server) Handler(relay controlv1connect.RelayHandler) http.Handler {
+func (s *Server) Handler(distribution Distribution) http.Handler {
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	path, handler := controlv1connect.NewRelayHandler(relay, uncompressed...)
+	path, handler := distribution.Mount()
 	router.PathPrefix(path).Handler(handler)
 	path, handler = controlv1connect.NewFenceHandler(s, uncompressed...)
 	router.PathPrefix(path).Handler(handler)
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -28,6 +28,9 @@
 	headerKey        = "Vb-Key"
 	headerIdempotent = "Vb-Idempotent"
 	headerFrom       = "Vb-From"
+	headerRoute      = "Vb-Route"
+	headerPriority   = "Vb-Priority"
+	headerObjective  = "Vb-Objective"
 	headerLoad       = "Vb-Load"
 	headerVerdict    = "Vb-Verdict"
 	headerReason     = "Vb-Reason"
@@ -56,22 +59,29 @@
 	if l.Draining {
 		draining = 1
 	}
-	return fmt.Sprintf("%d/%d/%d/%d", l.InFlight, l.Queued, l.Limit, draining)
+	return fmt.Sprintf("%d/%d/%d/%d/%d/%d", l.InFlight, l.Queued, l.Limit, draining, l.Wait.Milliseconds(), l.FailurePercent)
 }
 
 func parseLoad(s string) (vanillabarrow.Load, bool) {
 	fields := strings.Split(s, "/")
-	if len(fields) != 4 {
+	if len(fields) != 6 {
 		return vanillabarrow.Load{}, false
 	}
-	var n [4]int
+	var n [6]int
 	for i, field := range fields {
 		var err error
 		if n[i], err = strconv.Atoi(field); err != nil || n[i] < 0 {
 			return vanillabarrow.Load{}, false
 		}
 	}
-	return vanillabarrow.Load{InFlight: n[0], Queued: n[1], Limit: n[2], Draining: n[3] != 0}, true
+	return vanillabarrow.Load{
+		InFlight:       n[0],
+		Queued:         n[1],
+		Limit:          n[2],
+		Draining:       n[3] != 0,
+		Wait:           time.Duration(n[4]) * time.Millisecond,
+		FailurePercent: n[5],
+	}, true
 }
 
 func parseVersion(s string) vanillabarrow.Version {
@@ -92,6 +102,11 @@
 	h.Set(headerRetries, strconv.Itoa(a.RetriesLeft))
 	h.Set(headerVersion, strconv.FormatUint(uint64(a.Version), 10))
 	h.Set(headerFrom, from)
+	h.Set(headerRoute, a.Request.Route)
+	h.Set(headerPriority, strconv.Itoa(a.Request.Priority))
+	if !a.Request.Objective.IsZero() {
+		h.Set(headerObjective, strconv.FormatInt(a.Request.Objective.Sub(now).Microseconds(), 10))
+	}
 	if a.Token.Incarnation != "" {
 		h.Set(headerToken, formatToken(a.Token))
 	}
@@ -120,7 +135,7 @@
 		}
 		numbers[i] = n
 	}
-	return &vanillabarrow.Attempt{
+	a := &vanillabarrow.Attempt{
 		ID:          h.Get(headerAttempt),
 		Target:      &vanillabarrow.Target{Name: h.Get(headerTarget)},
 		Version:     parseVersion(h.Get(headerVersion)),
@@ -137,8 +152,30 @@
 			Depth:       numbers[1],
 			RetriesLeft: numbers[2],
 			Size:        r.ContentLength,
+			Route:       h.Get(headerRoute),
 		},
-	}, nil
+	}
+	return a, readQueueing(h, a.Request, now)
+}
+
+// readQueueing reads the fields that decide on the place in a queue. They are
+// absent from the attempts of older nodes.
+func readQueueing(h http.Header, r *vanillabarrow.Request, now time.Time) error {
+	if text := h.Get(headerPriority); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return fmt.Errorf("header field %s is not a number", headerPriority)
+		}
+		r.Priority = n
+	}
+	if text := h.Get(headerObjective); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return fmt.Errorf("header field %s is not a number", headerObjective)
+		}
+		r.Objective = now.Add(time.Duration(n) * time.Microsecond)
+	}
+	return nil
 }
 
 // writeRefusal adds the fields of a refusal to an answer's header.
--- a/internal/platform/plugin.go
+++ b/internal/platform/plugin.go
@@ -9,7 +9,11 @@
 )
 
 func init() {
-	kernel.Register(kernel.Plugin{Name: "platform", Options: fx.Provide(provide)})
+	kernel.Register(kernel.Plugin{
+		Name:    "platform",
+		Profile: vanillabarrow.ProfileInventory,
+		Options: fx.Provide(provide),
+	})
 }
 
 func provide(lc fx.Lifecycle, s settings.Settings, t *kernel.Traffic) vanillabarrow.Source {
--- a/internal/relay/plugin.go
+++ b/internal/relay/plugin.go
@@ -15,9 +15,10 @@
 
 func init() {
 	kernel.Register(kernel.Plugin{
-		Name: "relay",
+		Name:    "relay",
+		Profile: vanillabarrow.ProfileInventory,
 		Options: fx.Options(
-			fx.Provide(fromParts, NewServer, func(f *Follower) vanillabarrow.Configuration { return f }),
+			fx.Provide(fromParts, NewServer, func(f *Follower) (vanillabarrow.Configuration, vanillabarrow.Rollout) { return f, f }),
 			fx.Invoke(func(lc fx.Lifecycle, f *Follower) { lc.Append(fx.StartHook(f.Start)) }),
 			kernel.ProvideState(func(s *Server) kernel.StateSource {
 				return kernel.StateSource{Name: "relayServer", State: func() any { return s.State() }}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -273,6 +273,20 @@
 	}
 }
 
+// Changed implements vanillabarrow.Rollout.
+func (f *Follower) Changed() <-chan struct{} { return f.Table.Changed() }
+
+// VMList implements vanillabarrow.Rollout.
+func (f *Follower) VMList() *vanillabarrow.VMList { return f.Table.VMList() }
+
+// HeldVersion implements vanillabarrow.Rollout.
+func (f *Follower) HeldVersion() vanillabarrow.Version {
+	return f.Table.HeldVersion(vanillabarrow.TopicConfig)
+}
+
+// Status implements vanillabarrow.Rollout.
+func (f *Follower) Status() vanillabarrow.RolloutStatus { return f.Table.Status() }
+
 // Hint tells that a peer holds a newer version. Hints are dropped while one is
 // being followed.
 func (f *Follower) Hint(address string) {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -2,6 +2,7 @@
 package retry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -9,18 +10,18 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 )
 
-// Budget limits retries to a share of first attempts, with a small reserve so
-// that a quiet node can retry at all.
-type Budget struct {
-	mu     *kernel.Mutex
-	tokens float64
+// Config shapes a budget.
+type Config struct {
+	// Share is the number of retries earned by one first attempt.
+	Share float64
+	// Reserve is the largest number of retries that a service can save up.
+	Reserve float64
 }
 
+// DefaultConfig fits a fleet whose size is not known.
+func DefaultConfig() Config { return Config{Share: 0.1, Reserve: 10} }
+
 const (
-	// share is the number of retries earned by one first attempt.
-	share = 0.1
-	// reserve is the largest number of retries that can be saved up.
-	reserve = 10.0
 	// cost is what a retry takes, and shedCost what one takes after the target
 	// shed the request. A target may shed because a service below it did, and
 	// each hop of a chain would then multiply the attempts: with 10% a hop, 22
@@ -29,38 +30,56 @@
 	shedCost = 5.0
 )
 
+// Budget limits the retries at each service to a share of first attempts, with
+// a small reserve so that a quiet node can retry at all.
+type Budget struct {
+	cfg Config
+	mu  *kernel.Mutex
+	// tokens holds the retries left by service.
+	tokens map[string]float64
+}
+
 // New returns a full budget.
-func New() *Budget {
-	return &Budget{mu: kernel.NewMutex(kernel.RankRetry), tokens: reserve}
+func New(cfg Config) *Budget {
+	return &Budget{cfg: cfg, mu: kernel.NewMutex(kernel.RankRetry), tokens: map[string]float64{}}
+}
+
+// left returns the retries left at a service. The caller holds the lock.
+func (b *Budget) left(service string) float64 {
+	if tokens, ok := b.tokens[service]; ok {
+		return tokens
+	}
+	return b.cfg.Reserve
 }
 
 // Observe implements vanillabarrow.RetryPolicy.
-func (b *Budget) Observe() {
+func (b *Budget) Observe(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(reserve, b.tokens+share)
+	b.tokens[service] = min(b.cfg.Reserve, b.left(service)+b.cfg.Share)
 }
 
 // Allow implements vanillabarrow.RetryPolicy.
-func (b *Budget) Allow(reason vanillabarrow.Reason) bool {
+func (b *Budget) Allow(service string, reason vanillabarrow.Reason) bool {
 	price := cost
 	if reason == vanillabarrow.ReasonShed {
-		price = shedCost
+		price = min(shedCost, b.cfg.Reserve)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < price {
+	left := b.left(service)
+	if left < price {
 		return false
 	}
-	b.tokens -= price
+	b.tokens[service] = left - price
 	return true
 }
 
-// Tokens returns the retries left, for the state dump.
-func (b *Budget) Tokens() float64 {
+// Tokens returns the retries left by service, for the state dump.
+func (b *Budget) Tokens() map[string]float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tokens
+	return maps.Clone(b.tokens)
 }
 
 // Backoff returns a delay with full jitter: uniform from 0 to the base doubled
--- a/internal/retry/plugin.go
+++ b/internal/retry/plugin.go
@@ -5,18 +5,23 @@
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/settings"
 )
 
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name: "retry",
 		Options: fx.Options(
-			fx.Provide(New, func(b *Budget) vanillabarrow.RetryPolicy { return b }),
+			fx.Provide(fromSettings, func(b *Budget) vanillabarrow.RetryPolicy { return b }),
 			kernel.ProvideState(func(b *Budget) kernel.StateSource {
 				return kernel.StateSource{Name: "retry", State: func() any {
-					return map[string]float64{"tokens": b.Tokens()}
+					return b.Tokens()
 				}}
 			}),
 		),
 	})
 }
+
+func fromSettings(s settings.Settings) *Budget {
+	return New(Config{Share: s.Retries.Share, Reserve: s.Retries.Reserve})
+}
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -40,29 +40,6 @@
 // String returns the name of the outcome.
 func (o Outcome) String() string { return outcomeNames[o] }
 
-// Rejection tells why a version is not in force.
-type Rejection struct {
-	Version vanillabarrow.Version `json:"version"`
-	Reason  string                `json:"reason"`
-	At      time.Time             `json:"at"`
-}
-
-// Status is what a table shows to operators.
-type Status struct {
-	// Held is the version that is relayed, InForce the one that is served.
-	Held      vanillabarrow.Version `json:"held"`
-	InForce   vanillabarrow.Version `json:"inForce"`
-	AppliedAt time.Time             `json:"appliedAt"`
-	// ConfirmedAt is when a source last said that nothing newer exists.
-	ConfirmedAt time.Time  `json:"confirmedAt"`
-	Rejection   *Rejection `json:"rejection,omitempty"`
-	VMsHeld     uint64     `json:"vmsHeld"`
-	Parts       int        `json:"parts"`
-	Bytes       int        `json:"bytes"`
-	Stale       uint64     `json:"stale"`
-	Incomplete  uint64     `json:"incomplete"`
-}
-
 // Table holds the newest bundle of each topic and the values in force.
 type Table struct {
 	mu       *kernel.Mutex
@@ -73,7 +50,7 @@
 	history  map[vanillabarrow.Topic]*history
 	changed  chan struct{}
 	patches  *patchCache
-	status   Status
+	status   vanillabarrow.RolloutStatus
 
 	snapshot atomic.Pointer[vanillabarrow.Snapshot]
 	vms      atomic.Pointer[vanillabarrow.VMList]
@@ -141,7 +118,7 @@
 }
 
 // Status returns the state for operators.
-func (t *Table) Status() Status {
+func (t *Table) Status() vanillabarrow.RolloutStatus {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.status
@@ -214,7 +191,7 @@
 		return err
 	}
 	if err != nil {
-		t.status.Rejection = &Rejection{Version: b.Version, Reason: err.Error(), At: now}
+		t.status.Rejection = &vanillabarrow.Rejection{Version: b.Version, Reason: err.Error(), At: now}
 		return err
 	}
 	if b.Topic != vanillabarrow.TopicAccepted {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -48,8 +48,12 @@
 	return strings.ToLower(host)
 }
 
-// IsIdempotent reports whether the service lets the method run more than once.
-func IsIdempotent(s *vanillabarrow.Service, method string) bool {
+// IsIdempotent reports whether requests may run more than once: by the route's
+// word, else by the service's methods.
+func IsIdempotent(r *vanillabarrow.Route, s *vanillabarrow.Service, method string) bool {
+	if r.Idempotent != nil {
+		return *r.Idempotent
+	}
 	return slices.Contains(s.IdempotentMethods, method)
 }
 
--- a/internal/target/executor.go
+++ b/internal/target/executor.go
@@ -5,9 +5,8 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,90 +17,92 @@
 const (
 	// holdBytes is the largest part of an answer that is held.
 	holdBytes = 64 << 10
-	// dialTimeout bounds a connection set-up with the target.
+	// dialTimeout bounds a connection set-up with the target, which runs on
+	// the same VM.
 	dialTimeout = time.Second
-	// idleTimeout closes pooled connections.
-	idleTimeout = 30 * time.Second
-	// maxAnswerHeader bounds the header of an answer, in bytes.
-	maxAnswerHeader = 256 << 10
+	// healthTimeout bounds a health check.
+	healthTimeout = time.Second
 )
 
+// errStrays is the error for a connection with too many answers to other
+// requests.
+var errStrays = errors.New("too many answers to other requests")
+
+// errNotAnAnswer is the error for bytes that no target sends.
+var errNotAnAnswer = errors.New("not an answer of the target")
+
 // Executor implements vanillabarrow.Executor.
 type Executor struct {
-	name   string
-	cfg    vanillabarrow.Configuration
-	client atomic.Pointer[client]
+	own      vanillabarrow.TargetRef
+	cfg      vanillabarrow.Configuration
+	protocol vanillabarrow.TargetProtocol
+	client   atomic.Pointer[client]
 }
 
 // client is the connection pool for one address.
 type client struct {
 	address     string
 	connections int
-	http        *http.Client
+	pool        *pool
+	protocol    vanillabarrow.TargetProtocol
 }
 
-// New returns an executor for the target with the given name.
-func New(name string, cfg vanillabarrow.Configuration) *Executor {
-	return &Executor{name: name, cfg: cfg}
+// New returns an executor for a target.
+func New(own vanillabarrow.TargetRef, cfg vanillabarrow.Configuration, protocol vanillabarrow.TargetProtocol) *Executor {
+	return &Executor{own: own, cfg: cfg, protocol: protocol}
 }
 
-// pool returns the pool for the target as configured now.
-func (e *Executor) pool() (*client, error) {
+// current returns the client for the target as configured now.
+func (e *Executor) current() (*client, error) {
 	snapshot := e.cfg.Snapshot()
 	if snapshot == nil {
 		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonNoConfig, "")
 	}
-	target, ok := snapshot.Targets[e.name]
-	if !ok {
+	target := e.own.In(snapshot)
+	if target == nil {
 		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonTargetOut, "")
 	}
 	old := e.client.Load()
 	if old != nil && old.address == target.Address && old.connections == target.Connections {
 		return old, nil
 	}
-	fresh := newClient(target)
+	fresh := &client{
+		address:     target.Address,
+		connections: target.Connections,
+		pool:        newPool(target.Address, target.Connections),
+		protocol:    e.protocol,
+	}
 	if !e.client.CompareAndSwap(old, fresh) {
 		return e.client.Load(), nil
 	}
 	if old != nil {
-		old.http.CloseIdleConnections()
+		old.pool.close()
 	}
 	return fresh, nil
 }
 
-func newClient(target *vanillabarrow.Target) *client {
-	return &client{
-		address:     target.Address,
-		connections: target.Connections,
-		http: &http.Client{
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-			Transport: &http.Transport{
-				DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
-				DisableCompression:     true,
-				MaxConnsPerHost:        target.Connections,
-				MaxIdleConnsPerHost:    target.Connections,
-				IdleConnTimeout:        idleTimeout,
-				MaxResponseHeaderBytes: maxAnswerHeader,
-			},
-		},
+// Close closes idle connections.
+func (e *Executor) Close() {
+	if c := e.client.Load(); c != nil {
+		c.pool.close()
 	}
 }
 
-// Close closes idle connections.
-func (e *Executor) Close() {
+// Sweep closes connections that have been idle for too long.
+func (e *Executor) Sweep(now time.Time) {
 	if c := e.client.Load(); c != nil {
-		c.http.CloseIdleConnections()
+		c.pool.sweep(now)
 	}
 }
 
 // Execute implements vanillabarrow.Executor.
 func (e *Executor) Execute(ctx context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
-	c, err := e.pool()
+	c, err := e.current()
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
-	answer, err := c.send(ctx, a)
+	answer, err := c.execute(ctx, a)
 	if err != nil || answer.Stream == nil {
 		cancel()
 		return answer, err
@@ -110,6 +111,23 @@
 	return answer, nil
 }
 
+// Check asks the target for its health.
+func (e *Executor) Check(ctx context.Context) (vanillabarrow.Health, error) {
+	c, err := e.current()
+	if err != nil {
+		return vanillabarrow.Health{}, err
+	}
+	snapshot := e.cfg.Snapshot()
+	target := e.own.In(snapshot)
+	service := snapshot.Services[target.Service]
+	if service == nil || service.HealthPath == "" {
+		return vanillabarrow.Health{OK: true, Target: target.Name}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	return c.check(ctx, service.HealthPath)
+}
+
 // stream ends the context of a request with its answer.
 type stream struct {
 	io.ReadCloser
@@ -122,22 +140,33 @@
 	return s.ReadCloser.Close()
 }
 
-func (c *client) send(ctx context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	request, err := c.request(httptrace.WithClientTrace(ctx, trace), a)
+func (c *client) execute(ctx context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	request, err := newRequest(a, c.address, c.protocol)
 	if err != nil {
 		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonTargetDown, err.Error())
 	}
-	response, err := c.http.Do(request)
+	n, err := c.pool.get(ctx)
 	if err != nil {
-		return nil, refusal(ctx, err, connected.Load())
+		return nil, refusal(ctx, err, false)
 	}
+	stop := n.watchCancel(ctx)
+	response, class, reusable, err := n.exchange(request, a, c.protocol)
+	if err != nil {
+		stop()
+		c.pool.discard(n)
+		return nil, refusal(ctx, err, n.wrote)
+	}
+	body := &body{ReadCloser: response.Body, conn: n, pool: c.pool, stop: stop, reusable: reusable, idle: idleFor(response.Header)}
 	start, rest, err := message.Split(response.Body, holdBytes)
 	if err != nil {
-		_ = response.Body.Close()
+		_ = body.Close()
 		return nil, refusal(ctx, err, true)
 	}
+	body.whole = rest == nil
+	if err := refusalFor(class); err != nil {
+		_ = body.Close()
+		return nil, err
+	}
 	answer := &vanillabarrow.Answer{
 		Status: response.StatusCode,
 		Header: answerHeader(response.Header),
@@ -146,13 +175,86 @@
 		Target: a.Target.Name,
 	}
 	if rest == nil {
-		_ = response.Body.Close()
+		_ = body.Close()
 		return answer, nil
 	}
-	answer.Stream = response.Body
+	answer.Stream = body
 	return answer, nil
 }
 
+// refusalFor returns the refusal for answers that are not the request's.
+func refusalFor(class vanillabarrow.AnswerClass) error {
+	switch class {
+	case vanillabarrow.AnswerShed:
+		return vanillabarrow.NotRun(vanillabarrow.ReasonShed, "the target stated that it did not run the request")
+	case vanillabarrow.AnswerMisdirected:
+		return vanillabarrow.NotRun(vanillabarrow.ReasonMisdirected, "another target has the address")
+	case vanillabarrow.AnswerInvalid:
+		return vanillabarrow.MayHaveRun(vanillabarrow.ReasonTargetFailed, errNotAnAnswer.Error())
+	default:
+		return nil
+	}
+}
+
+func (c *client) check(ctx context.Context, path string) (vanillabarrow.Health, error) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+c.address+path, nil)
+	if err != nil {
+		return vanillabarrow.Health{}, err
+	}
+	n, err := c.pool.get(ctx)
+	if err != nil {
+		return vanillabarrow.Health{}, err
+	}
+	stop := n.watchCancel(ctx)
+	defer stop()
+	// A health check is rare, so its connection is not kept.
+	defer c.pool.discard(n)
+	if err := n.send(request); err != nil {
+		return vanillabarrow.Health{}, err
+	}
+	response, err := http.ReadResponse(n.r, request)
+	if err != nil {
+		return vanillabarrow.Health{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return c.protocol.Health(response.StatusCode, vanillabarrow.Header(response.Header)), nil
+}
+
+// body is the body of an answer. Its connection goes back to the pool when the
+// answer was read whole and nothing follows it.
+type body struct {
+	io.ReadCloser
+	conn     *conn
+	pool     *pool
+	stop     func() bool
+	reusable bool
+	idle     time.Duration
+	whole    bool
+	once     sync.Once
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.whole = true
+	}
+	return n, err
+}
+
+// Close gives the connection back or closes it.
+func (b *body) Close() error {
+	b.once.Do(func() {
+		intact := b.stop()
+		if b.whole && b.reusable && intact && b.conn.r.Buffered() == 0 && b.idle > 0 {
+			b.pool.put(b.conn, time.Now().Add(b.idle))
+			return
+		}
+		b.pool.discard(b.conn)
+	})
+	return nil
+}
+
 // answerHeader keeps, of the nodes' own fields, the number of retries below.
 func answerHeader(h http.Header) vanillabarrow.Header {
 	out := message.EndToEnd(h)
@@ -162,33 +264,19 @@
 	return vanillabarrow.Header(out)
 }
 
-func (c *client) request(ctx context.Context, a *vanillabarrow.Attempt) (*http.Request, error) {
-	r := a.Request
-	request, err := message.NewRequest(ctx, c.address, r)
-	if err != nil {
-		return nil, err
-	}
-	request.Header.Set(message.ContextHeader, message.Context{
-		Depth:   r.Depth + 1,
-		Retries: r.RetriesLeft,
-		Budget:  time.Until(a.Deadline),
-	}.String())
-	return request, nil
-}
-
-// refusal gives the verdict on a request without an answer. Without a
-// connection nothing was sent.
-func refusal(ctx context.Context, err error, connected bool) error {
+// refusal gives the verdict on a request without an answer. Unless bytes were
+// sent, it did not run.
+func refusal(ctx context.Context, err error, sent bool) error {
 	reason := vanillabarrow.ReasonTargetFailed
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = vanillabarrow.ReasonDeadline
 	case ctx.Err() != nil:
 		reason = vanillabarrow.ReasonCanceled
-	case !connected:
+	case !sent:
 		reason = vanillabarrow.ReasonTargetDown
 	}
-	if !connected {
+	if !sent {
 		return vanillabarrow.NotRun(reason, err.Error())
 	}
 	return vanillabarrow.MayHaveRun(reason, err.Error())
--- a/internal/target/executor_test.go
+++ b/internal/target/executor_test.go
@@ -22,9 +22,9 @@
 func (c configuration) Snapshot() *vanillabarrow.Snapshot { return c.snapshot }
 
 func executorFor(t *testing.T, address string) *Executor {
-	e := New("t1", configuration{&vanillabarrow.Snapshot{Targets: map[string]*vanillabarrow.Target{
+	e := New(vanillabarrow.TargetRef{Name: "t1"}, configuration{&vanillabarrow.Snapshot{Targets: map[string]*vanillabarrow.Target{
 		"t1": {Name: "t1", Address: address, Connections: 2},
-	}}})
+	}}}, NewProtocol())
 	t.Cleanup(e.Close)
 	return e
 }
--- /dev/null
+++ b/internal/target/protocol.go
@@ -0,0 +1,36 @@
+package target
+
+import (
+	"net/http"
+	"time"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/message"
+)
+
+// Protocol implements vanillabarrow.TargetProtocol with the product's own
+// header fields.
+type Protocol struct{}
+
+// NewProtocol returns the protocol.
+func NewProtocol() Protocol { return Protocol{} }
+
+// Prepare implements vanillabarrow.TargetProtocol.
+func (Protocol) Prepare(h vanillabarrow.Header, a *vanillabarrow.Attempt, now time.Time) {
+	h[message.ContextHeader] = []string{message.Context{
+		Depth:   a.Request.Depth + 1,
+		Retries: a.Request.RetriesLeft,
+		Budget:  a.Deadline.Sub(now),
+	}.String()}
+}
+
+// Classify implements vanillabarrow.TargetProtocol. Targets do not echo an id,
+// so every answer counts as the request's.
+func (Protocol) Classify(*vanillabarrow.Attempt, int, vanillabarrow.Header) vanillabarrow.AnswerClass {
+	return vanillabarrow.AnswerOwn
+}
+
+// Health implements vanillabarrow.TargetProtocol.
+func (Protocol) Health(status int, _ vanillabarrow.Header) vanillabarrow.Health {
+	return vanillabarrow.Health{OK: status == http.StatusOK}
+}
--- a/pkg/cmd/node/run/run.go
+++ b/pkg/cmd/node/run/run.go
@@ -15,6 +15,7 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/settings"
 	"github.com/vanillabarrow/vanillabarrow/pkg/cmdutil"
 	"github.com/vanillabarrow/vanillabarrow/pkg/iostreams"
+	"github.com/vanillabarrow/vanillabarrow/platform"
 )
 
 // gcPercent trades a little processor time for a heap that stays small beside
@@ -72,6 +73,9 @@
 			if err := cmdutil.ExactArgs(args, 0, "no arguments"); err != nil {
 				return err
 			}
+			if opts.SettingsFile == "" {
+				opts.SettingsFile = os.Getenv(platform.SettingsVariable)
+			}
 			if opts.SettingsFile == "" {
 				return cmdutil.FlagErrorf("-settings is required")
 			}
@@ -136,7 +140,7 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	logger := NewLogger(opts.IO.ErrOut, s.Log.Level).With("vm", s.Node.VM)
+	logger := NewLogger(opts.IO.Out, s.Log.Level).With("vm", s.Node.VM)
 	listeners, err := node.Listen(s)
 	if err != nil {
 		return err
@@ -150,7 +154,9 @@
 		node.Close(listeners)
 		return err
 	}
+	w := newWatcher(opts, n, logger)
+	go w.run(ctx)
 	<-ctx.Done()
-	logger.Info("stopping")
+	logger.Info("stopping", "cause", context.Cause(ctx))
 	return n.Stop(context.WithoutCancel(ctx))
 }
--- /dev/null
+++ b/pkg/cmd/node/run/watch.go
@@ -0,0 +1,76 @@
+package run
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/settings"
+)
+
+// watchInterval is how often the settings file is looked at, since it may
+// change without a signal.
+const watchInterval = time.Second
+
+// reloader takes over changed settings.
+type reloader interface {
+	Reload(s settings.Settings)
+}
+
+// watcher reads the settings file again when it changes or SIGHUP comes.
+type watcher struct {
+	opts   *Options
+	node   reloader
+	logger *slog.Logger
+	last   []byte
+}
+
+func newWatcher(opts *Options, node reloader, logger *slog.Logger) *watcher {
+	last, err := opts.ReadFile(opts.SettingsFile)
+	if err != nil {
+		logger.Warn("settings file not read", "file", opts.SettingsFile, "error", err)
+	}
+	return &watcher{opts: opts, node: node, logger: logger, last: last}
+}
+
+func (w *watcher) run(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-signals:
+			w.look()
+		case <-ticker.C:
+			w.look()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// look takes over the settings if the file changed. A file that is wrong
+// changes nothing.
+func (w *watcher) look() {
+	b, err := w.opts.ReadFile(w.opts.SettingsFile)
+	if err != nil {
+		w.logger.Warn("settings file not read", "file", w.opts.SettingsFile, "error", err)
+		return
+	}
+	if bytes.Equal(b, w.last) {
+		return
+	}
+	w.last = b
+	s, err := load(w.opts)
+	if err != nil {
+		w.logger.Warn("settings rejected", "error", err)
+		return
+	}
+	w.node.Reload(s)
+}
--- a/request.go
+++ b/request.go
@@ -34,6 +34,17 @@
 	// Size is the length of the body in bytes, -1 when unknown.
 	Size       int64
 	Idempotent bool
+	// Route is the name of the matched route.
+	Route string
+	// MaxAttempts bounds the targets that the request may reach, 0 for the
+	// service's policy.
+	MaxAttempts int
+	// Timeout is the route's bound, 0 for the service's policy.
+	Timeout time.Duration
+	// Objective is when the caller expects the answer, zero for no such time.
+	Objective time.Time
+	// Priority is the rank in a queue. 0 goes first.
+	Priority int
 	// Key is the caller's idempotency key, or empty.
 	Key string
 	// Depth is the number of mesh hops above this request.
@@ -75,6 +86,22 @@
 	Queued   int  `json:"queued"`
 	Limit    int  `json:"limit"`
 	Draining bool `json:"draining"`
+	// Wait is the time that a request would wait for a slot now.
+	Wait time.Duration `json:"wait,omitempty"`
+	// FailurePercent is the share of recent requests that the target failed.
+	FailurePercent int `json:"failurePercent,omitempty"`
+}
+
+// Admission is what a limiter knows about a request that wants to run.
+type Admission struct {
+	// Class names requests that take about the same time.
+	Class string
+	// Priority is the rank in the queue. 0 goes first.
+	Priority int
+	// Objective is when the caller expects the answer, zero for no such time.
+	Objective time.Time
+	// Deadline is when the answer is of no more use.
+	Deadline time.Time
 }
 
 // AttemptState is a gate's knowledge of one attempt.
@@ -134,9 +161,13 @@
 const (
 	// SignalOK is a timely answer.
 	SignalOK TargetSignal = iota
-	// SignalRefused is a connection refused or reset, or an answer by which
-	// the target sheds load.
+	// SignalDown is a connection refused.
+	SignalDown
+	// SignalRefused is a connection reset, or an answer by which the target
+	// sheds load.
 	SignalRefused
+	// SignalFailed is a timely answer that reports a failure of the target.
+	SignalFailed
 	// SignalTimeout is no answer within the deadline.
 	SignalTimeout
 	// SignalNeutral is an end that tells nothing, such as a canceled request.
--- a/strategies.go
+++ b/strategies.go
@@ -1,5 +1,17 @@
 package vanillabarrow
 
+// Profiles of a node: where its configuration comes from, and which header
+// fields its callers and its target use.
+const (
+	// ProfileInventory takes the operators' inventory and rules.
+	ProfileInventory = "inventory"
+	// ProfileStore takes the items of the platform's store.
+	ProfileStore = "store"
+)
+
+// ProfileNames returns the names of all profiles.
+func ProfileNames() []string { return []string{ProfileInventory, ProfileStore} }
+
 // Names of the balancers, as written in settings.
 const (
 	// BalancerTwoChoices takes the less occupied of two random targets.
@@ -23,7 +35,10 @@
 	LimiterAdaptive = "adaptive"
 	// LimiterFixed admits as many requests as the target has slots.
 	LimiterFixed = "fixed"
+	// LimiterOrdered admits as many requests as the target has slots, orders
+	// those that wait, and keeps to the warm-up rate of a cold target.
+	LimiterOrdered = "ordered"
 )
 
 // LimiterNames returns the names of all limiters.
-func LimiterNames() []string { return []string{LimiterAdaptive, LimiterFixed} }
+func LimiterNames() []string { return []string{LimiterAdaptive, LimiterFixed, LimiterOrdered} }
--- a/verdict.go
+++ b/verdict.go
@@ -57,7 +57,9 @@
 	ReasonOverloaded Reason = "overloaded"
 	// ReasonShed is an answer by which the target stated that it did not run
 	// the request.
-	ReasonShed             Reason = "shed"
+	ReasonShed Reason = "shed"
+	// ReasonMisdirected is an answer of another target at the address.
+	ReasonMisdirected      Reason = "misdirected"
 	ReasonTargetDown       Reason = "targetDown"
 	ReasonTargetFailed     Reason = "targetFailed"
 	ReasonTargetOut        Reason = "targetOut"
@@ -91,6 +93,12 @@
 	Token Token
 }
 
+// Reached reports whether the request may have got to a target, which costs
+// the target something even when it did not run.
+func (r *Refusal) Reached() bool {
+	return r.Verdict != VerdictNotRun || r.Reason == ReasonShed || r.Reason == ReasonMisdirected
+}
+
 // Error implements error.
 func (r *Refusal) Error() string {
 	if r.Detail == "" {
