--- /dev/null
+++ b/internal/discovery/plugin.go
@@ -0,0 +1,66 @@
+package discovery
+
+import (
+	"log/slog"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/membership"
+	"github.com/vanillabarrow/vanillabarrow/internal/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:    "discovery",
+		Profile: vanillabarrow.ProfileStore,
+		Options: fx.Options(
+			fx.Provide(
+				func(id *kernel.Identity) *Table { return New(id.Incarnation) },
+				NewServer, fromParts,
+				func(f *Follower) (vanillabarrow.Configuration, vanillabarrow.Rollout) { return f, f },
+			),
+			fx.Invoke(func(lc fx.Lifecycle, f *Follower) { lc.Append(fx.StartHook(f.Start)) }),
+			kernel.ProvideState(func(f *Follower) kernel.StateSource {
+				return kernel.StateSource{Name: "discovery", State: func() any { return f.Status() }}
+			}),
+			kernel.ProvideDrainer(func(s *Server) kernel.Drainer {
+				return kernel.Drainer{Name: "discovery", Drain: s.Drain}
+			}),
+		),
+	})
+}
+
+// parts are the constructor arguments that the kernel fills in.
+type parts struct {
+	fx.In
+	Settings  settings.Settings
+	Listeners kernel.Listeners
+	Table     *Table
+	Members   *membership.Table
+	Source    vanillabarrow.ItemSource
+	Compiler  vanillabarrow.ItemCompiler
+	Relay     vanillabarrow.ItemRelay
+	Pool      *kernel.Pool
+	Logger    *slog.Logger
+	Scope     tally.Scope
+}
+
+func fromParts(p parts) *Follower {
+	return NewFollower(Config{
+		Table:      p.Table,
+		Members:    p.Members,
+		Source:     p.Source,
+		Compiler:   p.Compiler,
+		Relay:      p.Relay,
+		Pool:       p.Pool,
+		Logger:     p.Logger,
+		Scope:      p.Scope,
+		Seeds:      p.Settings.Seeds,
+		Self:       p.Listeners.Peer.Addr().String(),
+		FleetSize:  p.Settings.Platform.FleetSize,
+		ReadBudget: p.Settings.Platform.ReadBudget,
+	})
+}
--- /dev/null
+++ b/internal/discovery/source.go
@@ -0,0 +1,115 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+)
+
+// sourceState is what the loop at the platform remembers between calls.
+type sourceState struct {
+	// after is the revision to watch from, 0 when a listing is needed.
+	after    vanillabarrow.Version
+	failures int
+	// answeredAt is when the platform last answered, and outageUntil until
+	// when removals may stem from an outage.
+	answeredAt  time.Time
+	outageUntil time.Time
+}
+
+// loopSource watches the platform while the node is a reader or nobody else
+// tells it what the platform holds.
+func (f *Follower) loopSource(ctx context.Context) {
+	s := &sourceState{}
+	if !waitFor(ctx, nil, f.firstRead()) {
+		return
+	}
+	for ctx.Err() == nil {
+		if !f.shouldRead() {
+			// What was missed meanwhile came from other nodes.
+			s.after = f.Table.AsOf()
+			waitFor(ctx, nil, roleCheck)
+			continue
+		}
+		f.readOnce(ctx, s)
+	}
+}
+
+// shouldRead reports whether this node reads the platform now.
+func (f *Follower) shouldRead() bool {
+	if f.Table.AsOf() == 0 || f.Members.View().Reader {
+		return true
+	}
+	return time.Since(f.Table.Confirmed()) > staleAfter
+}
+
+// readOnce makes one call and waits as long as its outcome asks for.
+func (f *Follower) readOnce(ctx context.Context, s *sourceState) {
+	if err := f.budget.Wait(ctx); err != nil {
+		return
+	}
+	d, err := f.call(ctx, s)
+	now := time.Now()
+	if err != nil {
+		f.sourceFailed(ctx, s, err)
+		return
+	}
+	f.sourceAnswered(s, now)
+	markRemovals(d, now, now.Before(s.outageUntil))
+	s.after = d.AsOf
+	f.merge(d, "platform")
+	f.checkReady(now)
+	if len(d.Items) > 0 {
+		waitFor(ctx, nil, coalesce)
+	}
+}
+
+func (f *Follower) call(ctx context.Context, s *sourceState) (*vanillabarrow.Delta, error) {
+	if s.after == 0 {
+		f.Scope.Counter("lists").Inc(1)
+		return f.Source.List(ctx)
+	}
+	f.Scope.Counter("watches").Inc(1)
+	return f.Source.Watch(ctx, s.after)
+}
+
+func (f *Follower) sourceFailed(ctx context.Context, s *sourceState, err error) {
+	if errors.Is(err, vanillabarrow.ErrHistoryLost) {
+		f.Logger.Info("platform history lost", "after", s.after)
+		s.after = 0
+		return
+	}
+	s.failures++
+	f.Scope.Counter("sourceErrors").Inc(1)
+	if !f.lost.Swap(true) {
+		f.Logger.Warn("platform lost", "error", err, "after", s.after)
+	}
+	f.checkReady(time.Now())
+	waitFor(ctx, nil, backoff(s.failures))
+}
+
+func (f *Follower) sourceAnswered(s *sourceState, now time.Time) {
+	if s.failures > 0 && !s.answeredAt.IsZero() && now.Sub(s.answeredAt) > outageAfter {
+		s.outageUntil = now.Add(outageKeep)
+	}
+	if f.lost.Swap(false) {
+		f.Logger.Info("platform regained", "failures", s.failures)
+	}
+	s.failures = 0
+	s.answeredAt = now
+}
+
+// markRemovals sets until when removed items still count.
+func markRemovals(d *vanillabarrow.Delta, now time.Time, afterOutage bool) {
+	keep := removeKeep
+	if afterOutage {
+		keep = outageKeep
+	}
+	for i := range d.Items {
+		if d.Items[i].Removed {
+			d.Items[i].KeepUntil = now.Add(keep)
+		}
+	}
+}
