Ask one reader of each data centre in turn, and seed the node's own choices

Cause: a reader asked two readers elsewhere drawn at random, one after the other, each for up to 2 s. In a data centre that reaches only a third one, both draws were often of the data centre that it can't reach, so a version came after the bound. Change: two peekers with timers of their own, each asking one reader of one other data centre after the other, for 500 ms at most. All random choices of the node go through internal/random, which the property tests seed, so that the choices of a seed are replayed; the order of goroutines within one instant stays the scheduler's.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -2,11 +2,11 @@
 package balance
 
 import (
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/random"
 )
 
 // unknownLimit is assumed for a target that has not reported its limit. It is
@@ -26,7 +26,7 @@
 	case vanillabarrow.BalancerRoundRobin:
 		return &roundRobin{}
 	case vanillabarrow.BalancerRandom:
-		return random{}
+		return randomChoice{}
 	}
 	return nil
 }
@@ -84,13 +84,13 @@
 	if n == 0 {
 		return -1
 	}
-	first := nth(candidates, distance, rand.IntN(n))
+	first := nth(candidates, distance, random.IntN(n))
 	if n == 1 {
 		return first
 	}
 	second := first
 	for second == first {
-		second = nth(candidates, distance, rand.IntN(n))
+		second = nth(candidates, distance, random.IntN(n))
 	}
 	if occupancy(&candidates[second], now) < occupancy(&candidates[first], now) {
 		return second
@@ -124,7 +124,7 @@
 		case candidates[i].InFlight == candidates[best].InFlight:
 			// Reservoir sampling spreads ties evenly.
 			ties++
-			if rand.IntN(ties) == 0 {
+			if random.IntN(ties) == 0 {
 				best = i
 			}
 		}
@@ -145,13 +145,13 @@
 	return int(b.n.Add(1) % uint64(len(candidates)))
 }
 
-// random takes any target.
-type random struct{}
+// randomChoice takes any target.
+type randomChoice struct{}
 
 // Pick implements vanillabarrow.Balancer.
-func (random) Pick(candidates []vanillabarrow.Candidate, _ time.Time) int {
+func (randomChoice) Pick(candidates []vanillabarrow.Candidate, _ time.Time) int {
 	if len(candidates) == 0 {
 		return -1
 	}
-	return rand.IntN(len(candidates))
+	return random.IntN(len(candidates))
 }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +11,7 @@
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/membership"
+	"github.com/vanillabarrow/vanillabarrow/internal/random"
 	"github.com/vanillabarrow/vanillabarrow/internal/relay"
 	"github.com/vanillabarrow/vanillabarrow/internal/retry"
 )
@@ -282,5 +282,5 @@
 // starts at once stays within its share of the read budget.
 func (f *Follower) firstRead() time.Duration {
 	window := time.Duration(float64(f.FleetSize) / (firstReadShare * float64(f.ReadBudget)) * float64(time.Second))
-	return rand.N(window + 1)
+	return random.Duration(window + 1)
 }
--- a/internal/dispatch/chain_test.go
+++ b/internal/dispatch/chain_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"testing"
-	"time"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -1,12 +1,12 @@
 package membership
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/random"
 )
 
 // suspicionTime is how long a VM that did not answer counts as down. A short
@@ -222,6 +222,6 @@
 // Sample returns up to n of the peers in random order.
 func Sample(peers []Peer, n int) []Peer {
 	shuffled := slices.Clone(peers)
-	rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
 	return shuffled[:min(n, len(shuffled))]
 }
--- a/internal/property/property.go
+++ b/internal/property/property.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/random"
 )
 
 const (
@@ -40,5 +42,9 @@
 			t.Fatal(err)
 		}
 	}
-	rapid.Check(t, property)
+	rapid.Check(t, func(t *rapid.T) {
+		// The node's own choices follow from the seed as well.
+		defer random.Seed(rapid.Uint64().Draw(t, "choices"))()
+		property(t)
+	})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +14,7 @@
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/membership"
+	"github.com/vanillabarrow/vanillabarrow/internal/random"
 	"github.com/vanillabarrow/vanillabarrow/internal/retry"
 	"github.com/vanillabarrow/vanillabarrow/internal/rollout"
 )
@@ -23,8 +23,12 @@
 	// peekInterval is the period at which readers compare versions with
 	// readers elsewhere.
 	peekInterval = time.Second
-	// remotePeeks is the number of readers elsewhere asked in each period.
-	remotePeeks = 2
+	// peekSlots is the number of other data centres asked in each period.
+	peekSlots = 2
+	// peekTimeout bounds the question for another reader's versions. It is
+	// short, so that a data centre that can't be reached does not keep the
+	// reader from asking the next one.
+	peekTimeout = 500 * time.Millisecond
 	// callTimeout bounds a call to another node.
 	callTimeout = 2 * time.Second
 	// platformTimeout bounds a read of the platform.
@@ -116,7 +120,10 @@
 			return err
 		}
 	}
-	f.Pool.Every(jittered(peekInterval), true, "relay.peek", f.peekRemote)
+	for slot := range peekSlots {
+		p := &peeker{follower: f, next: slot}
+		f.Pool.Every(jittered(peekInterval), true, "relay.peek", p.peek)
+	}
 	return nil
 }
 
@@ -152,7 +159,7 @@
 
 // jittered returns delays of 50% to 150% of d.
 func jittered(d time.Duration) func() time.Duration {
-	return func() time.Duration { return d/2 + rand.N(d) }
+	return func() time.Duration { return d/2 + random.Duration(d) }
 }
 
 // pause waits with full jitter after the n-th failure in a row. It returns
@@ -228,7 +235,7 @@
 
 // catchUp compares versions with a peer and pulls what is newer there.
 func (f *Follower) catchUp(ctx context.Context, address string) error {
-	peekCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	peekCtx, cancel := context.WithTimeout(ctx, peekTimeout)
 	defer cancel()
 	versions, err := f.Relay.Peek(peekCtx, address)
 	if err != nil {
@@ -245,20 +252,6 @@
 	return nil
 }
 
-// peekRemote compares versions with readers of other data centres, so that a
-// data centre cut off from the platform still converges.
-func (f *Follower) peekRemote(ctx context.Context) {
-	view := f.Members.View()
-	if !view.Reader {
-		return
-	}
-	for _, peer := range membership.Sample(view.Remote, remotePeeks) {
-		if err := f.catchUp(ctx, peer.Address); err != nil {
-			f.Scope.Counter("peekErrors").Inc(1)
-		}
-	}
-}
-
 // loopMembers recomputes the membership at each change of a topic.
 func (f *Follower) loopMembers(ctx context.Context) {
 	for {
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/inventory"
+	"github.com/vanillabarrow/vanillabarrow/internal/random"
 )
 
 // maxPartsRead bounds the parts kept of versions that are not whole yet.
@@ -167,5 +167,5 @@
 
 // firstRead returns the delay of the node's own first read.
 func (f *Follower) firstRead() time.Duration {
-	return rand.N(f.startSpread() + time.Millisecond)
+	return random.Duration(f.startSpread() + time.Millisecond)
 }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -3,11 +3,11 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/random"
 )
 
 // Config shapes a budget.
@@ -92,5 +92,5 @@
 	if high <= 0 {
 		return 0
 	}
-	return rand.N(high)
+	return random.Duration(high)
 }
