Queue by objective, hold bodies back until a gate has room, weigh bytes by distance

Change: claims of equal priority are ordered by their objective, and a gate refuses at once what can't meet it; when no gate can, one more attempt goes to the gate with the least cost for which the deadline alone counts, behind all others and bounded in number. Bodies above 4 KB, and all bodies of requests that may run once, are sent only when the gate asks for them with 100-continue: a refusal costs no bytes, and without its body a request provably did not run. A balancer weighs how full, how far by bytes, and how faulty a target is. Connections between nodes give up on bytes that are not acknowledged for 450 ms.

--- a/interfaces.go
+++ b/interfaces.go
@@ -109,6 +109,9 @@
 	ReportedAt time.Time
 	// Trial is set for a target that was set aside and is due for one try.
 	Trial bool
+	// Bytes is the number of bytes that the request and its answer are expected
+	// to move.
+	Bytes int
 }
 
 // Balancer chooses among candidates. It does no I/O and keeps no state.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -21,6 +21,8 @@
 	switch name {
 	case vanillabarrow.BalancerTwoChoices:
 		return twoChoices{}
+	case vanillabarrow.BalancerCheapest:
+		return cheapest{}
 	case vanillabarrow.BalancerLeastInFlight:
 		return leastInFlight{}
 	case vanillabarrow.BalancerRoundRobin:
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -58,6 +58,7 @@
 		Version:     snapshot.Version,
 		Token:       d.Tokens.Get(target.Name),
 		Deadline:    f.deadline,
+		Late:        f.late,
 		RetriesLeft: max(0, min(f.service.Retries, f.request.RetriesLeft)-f.retries),
 	}
 	d.Loads.begin(target.Name, time.Now())
@@ -138,6 +139,10 @@
 	if refusal.Verdict != vanillabarrow.VerdictMayHaveRun || !unsettled(refusal.Reason) {
 		return nil, refusal
 	}
+	if r.attempt.Request.MaxAttempts > 0 && r.attempt.Request.Idempotent {
+		// Another target answers sooner than questions do.
+		return nil, refusal
+	}
 	return d.settle(ctx, r.attempt, refusal)
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -76,6 +76,10 @@
 	attempts int
 	// reached counts the attempts that may have got to a target.
 	reached int
+	// late is set once no gate could meet the objective.
+	late bool
+	// refused holds the targets whose gates had no room in time.
+	refused []string
 	// failed is an answer by which a target reported a failure of its own,
 	// while another target is tried.
 	failed *vanillabarrow.Answer
@@ -98,6 +102,7 @@
 		return nil, d.refuse(f, vanillabarrow.AsRefusal(err))
 	}
 	d.Scope.Counter("finished").Inc(1)
+	d.Loads.sized(request, answer)
 	// A gate may hold the answer for others, so it is not written to.
 	own := *answer
 	own.Attempts = f.attempts
@@ -155,6 +160,9 @@
 	var last *vanillabarrow.Refusal
 	for {
 		target := d.choose(f)
+		if target == nil && f.acceptLate(last) {
+			continue
+		}
 		if target == nil {
 			return f.end(noTarget(last))
 		}
@@ -174,6 +182,9 @@
 			f.mayHaveRun = true
 		}
 		f.tried[target.Name] = true
+		if last.Reason == vanillabarrow.ReasonOverloaded {
+			f.refused = append(f.refused, target.Name)
+		}
 		if !d.mayRetry(ctx, f, last) {
 			return f.end(last)
 		}
@@ -322,12 +333,13 @@
 	now := time.Now()
 	names := subset(d.VM, service.Targets)
 	candidates := make([]vanillabarrow.Candidate, 0, len(names))
+	bytes := d.Loads.size(f.request)
 	for _, name := range names {
 		t := s.Targets[name]
 		if t.Out || t.Draining || f.tried[name] || !d.Members.Live(t.VM) {
 			continue
 		}
-		c := vanillabarrow.Candidate{Target: t, Distance: route.Distance(s, d.DataCentre, t)}
+		c := vanillabarrow.Candidate{Target: t, Distance: route.Distance(s, d.DataCentre, t), Bytes: bytes}
 		if d.Loads.fill(&c, now) {
 			candidates = append(candidates, c)
 		}
--- a/internal/dispatch/loads.go
+++ b/internal/dispatch/loads.go
@@ -14,6 +14,10 @@
 	// asideBase and asideLimit bound the time that a target is set aside.
 	asideBase  = 200 * time.Millisecond
 	asideLimit = 5 * time.Second
+	// sizeWeight is the weight of a new answer in the size of a route's answers,
+	// and maxSizes bounds the routes remembered.
+	sizeWeight = 0.05
+	maxSizes   = 4096
 	// forgetAfter is how long an unused target is remembered.
 	forgetAfter = 5 * time.Minute
 )
@@ -33,11 +37,13 @@
 type Loads struct {
 	mu      *kernel.Mutex
 	targets map[string]*targetLoad
+	// sizes holds the bytes that requests and answers move, by route.
+	sizes map[string]float64
 }
 
 // NewLoads returns an empty table.
 func NewLoads() *Loads {
-	return &Loads{mu: kernel.NewMutex(kernel.RankLoads), targets: map[string]*targetLoad{}}
+	return &Loads{mu: kernel.NewMutex(kernel.RankLoads), targets: map[string]*targetLoad{}, sizes: map[string]float64{}}
 }
 
 func (l *Loads) get(name string) *targetLoad {
@@ -105,11 +111,34 @@
 	}
 }
 
+// size returns the number of bytes that a request and its answer are expected
+// to move.
+func (l *Loads) size(r *vanillabarrow.Request) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int(l.sizes[r.Route]) + int(max(0, r.Size))
+}
+
+// sized notes the size of an answer on a route.
+func (l *Loads) sized(r *vanillabarrow.Request, a *vanillabarrow.Answer) {
+	n := float64(max(int64(len(a.Body)), a.Size))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old, ok := l.sizes[r.Route]
+	if !ok {
+		old = n
+	}
+	l.sizes[r.Route] = old + sizeWeight*(n-old)
+}
+
 // Sweep forgets targets that were not used for long. It returns the number
 // left.
 func (l *Loads) Sweep(now time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.sizes) > maxSizes {
+		clear(l.sizes)
+	}
 	for name, t := range l.targets {
 		if t.inFlight == 0 && now.Sub(t.usedAt) > forgetAfter {
 			delete(l.targets, name)
--- a/internal/dispatch/next.go
+++ b/internal/dispatch/next.go
@@ -25,7 +25,7 @@
 		return false
 	}
 	if !last.Reached() {
-		return true
+		return !f.late || last.Reason != vanillabarrow.ReasonOverloaded
 	}
 	f.reached++
 	if f.reached >= f.request.MaxAttempts || !d.Retry.Allow(f.service.Name, last.Reason) {
@@ -56,3 +56,19 @@
 	d.Scope.Counter("retries").Inc(1)
 	return true
 }
+
+// acceptLate prepares one more attempt at the gates that had no room in time,
+// for which the deadline alone counts. It is made once for a request.
+func (f *flight) acceptLate(last *vanillabarrow.Refusal) bool {
+	if f.late || last == nil || len(f.refused) == 0 || f.request.MaxAttempts == 0 {
+		return false
+	}
+	if f.attempts >= maxTries || f.request.Objective.IsZero() || time.Until(f.deadline) < minTimeLeft {
+		return false
+	}
+	f.late = true
+	for _, name := range f.refused {
+		delete(f.tried, name)
+	}
+	return true
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -18,6 +18,10 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/message"
 )
 
+// bodyHold is the largest part of a body, in bytes, that is read before the
+// request is sent to the target.
+const bodyHold = 64 << 10
+
 // Gate implements vanillabarrow.Gate for the target beside the node.
 type Gate struct {
 	own      vanillabarrow.TargetRef
@@ -219,6 +223,10 @@
 		g.limiter.Release(admission, vanillabarrow.SignalNeutral, 0)
 		return nil, err
 	}
+	if err := takeBody(attempt.Request); err != nil {
+		g.limiter.Release(admission, vanillabarrow.SignalNeutral, 0)
+		return nil, err
+	}
 	if !attempt.Request.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -238,12 +246,30 @@
 	return answer, nil
 }
 
+// takeBody asks the sender for a body that it held back, as far as it is held
+// in memory. A target that has got no byte of a request does not run it.
+func takeBody(r *vanillabarrow.Request) error {
+	if r.Stream == nil || len(r.Body) > 0 {
+		return nil
+	}
+	start, rest, err := message.Split(r.Stream, bodyHold)
+	if err != nil {
+		return vanillabarrow.NotRun(vanillabarrow.ReasonBodyIncomplete, err.Error())
+	}
+	r.Body, r.Stream = start, rest
+	if rest == nil {
+		r.Size = int64(len(start))
+	}
+	return nil
+}
+
 func admissionOf(a *vanillabarrow.Attempt) vanillabarrow.Admission {
 	return vanillabarrow.Admission{
 		Class:     a.Request.Route,
 		Priority:  a.Request.Priority,
 		Objective: a.Request.Objective,
 		Deadline:  a.Deadline,
+		Late:      a.Late,
 	}
 }
 
--- a/internal/limit/ordered.go
+++ b/internal/limit/ordered.go
@@ -27,6 +27,8 @@
 	// minWaiters keeps a short queue even where estimates say that nothing
 	// would be in time.
 	minWaiters = 1
+	// lateShare is the part of the slots for which late requests may wait.
+	lateShare = 4
 	// downRetryAfter is the delay advised while the target is down.
 	downRetryAfter = 200 * time.Millisecond
 )
@@ -116,6 +118,9 @@
 	}
 	at, _ := slices.BinarySearchFunc(o.waiters, c, func(a, b *claim) int { return o.order(a, b, now) })
 	wait := o.waitAt(at, now)
+	if c.Late && o.lateWaiters() >= max(1, o.slots/lateShare) {
+		return nil, refuse(vanillabarrow.ReasonOverloaded, "too many late requests wait", wait)
+	}
 	if at >= minWaiters && now.Add(wait+c.work).After(c.limit()) {
 		return nil, refuse(vanillabarrow.ReasonOverloaded, "no slot in time", wait)
 	}
@@ -127,8 +132,16 @@
 }
 
 // limit is when a request has to be done to be worth its place: its objective,
-// or its deadline when it has none or is past it.
+// or its deadline when that alone counts.
 func (c *claim) limit() time.Time {
+	if c.Objective.IsZero() || c.Late {
+		return c.Deadline
+	}
+	return c.Objective
+}
+
+// due is the time by which claims of equal priority are ordered.
+func (c *claim) due() time.Time {
 	if c.Objective.IsZero() {
 		return c.Deadline
 	}
@@ -146,16 +159,27 @@
 		}
 		return -1
 	}
-	if d := a.Deadline.Compare(b.Deadline); d != 0 {
+	if d := a.due().Compare(b.due()); d != 0 {
 		return d
 	}
 	// An equal claim goes behind those that wait.
 	return -1
 }
 
+// lateWaiters counts the claims for which the deadline alone counts.
+func (o *Ordered) lateWaiters() int {
+	n := 0
+	for _, c := range o.waiters {
+		if c.Late {
+			n++
+		}
+	}
+	return n
+}
+
 // late reports whether the request can't meet its objective any more.
 func (c *claim) late(now time.Time) bool {
-	return !c.Objective.IsZero() && now.Add(c.work).After(c.Objective)
+	return c.Late || !c.Objective.IsZero() && now.Add(c.work).After(c.Objective)
 }
 
 // workOf estimates the work time of a class.
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -10,9 +10,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
+	"golang.org/x/sys/unix"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
@@ -25,8 +27,15 @@
 	// HoldBytes is the largest part of a body that a node holds, to send it
 	// again or to answer a question about it.
 	HoldBytes = 64 << 10
-	// dialTimeout bounds a connection set-up.
-	dialTimeout = time.Second
+	// dialTimeout bounds a connection set-up. It covers the longest way between
+	// regions, and leaves time to ask another node.
+	dialTimeout = 250 * time.Millisecond
+	// unackedTimeout breaks a connection whose bytes the other side does not
+	// acknowledge. One lost packet is sent again after 200 ms.
+	unackedTimeout = 450 * time.Millisecond
+	// holdBack is the largest body, in bytes, that is sent with the head of a
+	// request that may run more than once.
+	holdBack = 4 << 10
 	// idleConnections bounds the pooled connections to one node.
 	idleConnections = 32
 	// idleTimeout closes pooled connections before a network forgets them.
@@ -57,7 +66,7 @@
 
 // NewForwarder returns a forwarder for the node on the given VM.
 func NewForwarder(vm string, observer Observer, traffic *kernel.Traffic) *Forwarder {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: limitUnacked}
 	return &Forwarder{
 		vm:       vm,
 		observer: observer,
@@ -78,6 +87,16 @@
 	}
 }
 
+// limitUnacked makes the kernel break the connection when its bytes are not
+// acknowledged, as in a network partition.
+func limitUnacked(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Close closes idle connections.
@@ -85,15 +104,19 @@
 
 // Forward implements vanillabarrow.Forwarder.
 func (f *Forwarder) Forward(ctx context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	// A gate that has not asked for the body can't have run the request.
+	var exposed atomic.Bool
+	trace := &httptrace.ClientTrace{Got100Continue: func() { exposed.Store(true) }}
+	if !holdsBack(a.Request) {
+		trace = &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { exposed.Store(true) }}
+	}
 	request, err := f.request(httptrace.WithClientTrace(ctx, trace), a)
 	if err != nil {
 		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonConnectionFailed, err.Error())
 	}
 	response, err := f.client.Do(request)
 	if err != nil {
-		return nil, transportRefusal(ctx, err, connected.Load())
+		return nil, transportRefusal(ctx, err, exposed.Load())
 	}
 	return f.answer(ctx, a, response)
 }
@@ -105,19 +128,27 @@
 		return nil, err
 	}
 	writeAttempt(request.Header, a, f.vm, time.Now())
-	if r.Stream != nil {
+	if holdsBack(r) {
 		request.Header.Set("Expect", "100-continue")
 	}
 	return request, nil
 }
 
-// transportRefusal gives the verdict on an attempt without an answer. Without
-// a connection nothing was sent.
-func transportRefusal(ctx context.Context, err error, connected bool) error {
+// holdsBack reports whether the body is sent only when the gate asks for it. A
+// large body is not sent to a gate that refuses it; without its body a request
+// that may run only once has provably not run.
+func holdsBack(r *vanillabarrow.Request) bool {
+	return r.Stream != nil || len(r.Body) > holdBack || len(r.Body) > 0 && !r.Idempotent
+}
+
+// transportRefusal gives the verdict on an attempt without an answer. It has
+// not run unless it was exposed: sent whole, or so far that the gate may run
+// it.
+func transportRefusal(ctx context.Context, err error, exposed bool) error {
 	if errors.Is(err, message.ErrTooLarge) {
 		return vanillabarrow.MayHaveRun(vanillabarrow.ReasonBodyIncomplete, err.Error())
 	}
-	if !connected {
+	if !exposed {
 		return vanillabarrow.NotRun(vanillabarrow.ReasonConnectionFailed, err.Error())
 	}
 	if ctx.Err() != nil {
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -31,6 +31,7 @@
 	headerRoute      = "Vb-Route"
 	headerPriority   = "Vb-Priority"
 	headerObjective  = "Vb-Objective"
+	headerLate       = "Vb-Late"
 	headerLoad       = "Vb-Load"
 	headerVerdict    = "Vb-Verdict"
 	headerReason     = "Vb-Reason"
@@ -116,6 +117,9 @@
 	if a.Request.Idempotent {
 		h.Set(headerIdempotent, "1")
 	}
+	if a.Late {
+		h.Set(headerLate, "1")
+	}
 }
 
 // errNotAnAttempt is the error for a request without the fields of an attempt.
@@ -142,6 +146,7 @@
 		Token:       parseToken(h.Get(headerToken)),
 		Deadline:    now.Add(time.Duration(numbers[0]) * time.Microsecond),
 		RetriesLeft: numbers[2],
+		Late:        h.Get(headerLate) == "1",
 		Request: &vanillabarrow.Request{
 			Service:     h.Get(headerService),
 			Method:      r.Method,
--- a/request.go
+++ b/request.go
@@ -64,6 +64,9 @@
 	Deadline time.Time
 	// RetriesLeft is what the callee may spend further down the chain.
 	RetriesLeft int
+	// Late is set when no gate can meet the objective, so that the deadline
+	// alone counts.
+	Late bool
 }
 
 // Answer is a target's whole answer to one attempt.
@@ -102,6 +105,8 @@
 	Objective time.Time
 	// Deadline is when the answer is of no more use.
 	Deadline time.Time
+	// Late is set when the deadline alone counts.
+	Late bool
 }
 
 // AttemptState is a gate's knowledge of one attempt.
--- a/strategies.go
+++ b/strategies.go
@@ -16,6 +16,8 @@
 const (
 	// BalancerTwoChoices takes the less occupied of two random targets.
 	BalancerTwoChoices = "twoChoices"
+	// BalancerCheapest weighs how full, how far and how faulty a target is.
+	BalancerCheapest = "cheapest"
 	// BalancerLeastInFlight takes the target with the fewest own attempts.
 	BalancerLeastInFlight = "leastInFlight"
 	// BalancerRoundRobin takes each target in turn.
@@ -26,7 +28,7 @@
 
 // BalancerNames returns the names of all balancers.
 func BalancerNames() []string {
-	return []string{BalancerTwoChoices, BalancerLeastInFlight, BalancerRoundRobin, BalancerRandom}
+	return []string{BalancerTwoChoices, BalancerCheapest, BalancerLeastInFlight, BalancerRoundRobin, BalancerRandom}
 }
 
 // Names of the limiters, as written in settings.
