Keep queues fair, throttle routes that fail further down, announce across data centres

Change: a claim may displace waiting ones of lower rank only; callers that used part of their time go before others of their priority; a throttle sheds routes that targets fail, at the entry; nodes elsewhere announce revisions instead of sending items; ids have 12 characters; a cold target gets 1.2 times its warm-up rate.

--- a/interfaces.go
+++ b/interfaces.go
@@ -62,8 +62,9 @@
 // ItemRelay passes items between nodes. Addresses are those of peer listeners.
 type ItemRelay interface {
 	// Follow calls receive for each delta until the stream ends or receive
-	// fails. The cursor is the last one that the peer sent.
-	Follow(ctx context.Context, address string, cursor Cursor, receive func(*Delta) error) error
+	// fails. The cursor is the last one that the peer sent. With announceOnly
+	// set, deltas tell only what the peer knows, without its items.
+	Follow(ctx context.Context, address string, cursor Cursor, announceOnly bool, receive func(*Delta) error) error
 	// Pull returns what changed at the peer since the cursor.
 	Pull(ctx context.Context, address string, cursor Cursor) (*Delta, error)
 }
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -13,6 +13,9 @@
 	// slots is the number of nodes that a node follows: one of its own data
 	// centre and one elsewhere, so that no single cut leaves it without news.
 	slots = 2
+	// announceGrace is how long the node's own sources may take to bring what
+	// a node elsewhere has announced.
+	announceGrace = 400 * time.Millisecond
 	// followFor bounds the time with one node, so that the tree forms again
 	// after a failure.
 	followFor = 20 * time.Second
@@ -50,11 +53,18 @@
 	}
 }
 
-// follow takes over what the node sends until the stream ends.
+// follow takes over what the node sends until the stream ends. A node
+// elsewhere only announces what it knows, so that an item crosses between data
+// centres once.
 func (f *Follower) follow(ctx context.Context, slot int, address string) error {
 	started := time.Now()
-	return f.Relay.Follow(ctx, address, vanillabarrow.Cursor{}, func(d *vanillabarrow.Delta) error {
-		f.merge(d, address)
+	announceOnly := slot > 0 && f.Table.AsOf() > 0
+	return f.Relay.Follow(ctx, address, vanillabarrow.Cursor{}, announceOnly, func(d *vanillabarrow.Delta) error {
+		if announceOnly {
+			f.announced(ctx, address, d)
+		} else {
+			f.merge(d, address)
+		}
 		if f.Table.AsOf() > 0 {
 			f.checkReady(time.Now())
 		}
@@ -68,6 +78,26 @@
 	})
 }
 
+// announced takes over what a node elsewhere knows: that nothing is newer, or,
+// when the node's own sources do not bring the news in time, its items.
+func (f *Follower) announced(ctx context.Context, address string, d *vanillabarrow.Delta) {
+	deadline := time.Now().Add(announceGrace)
+	for d.AsOf > f.Table.AsOf() {
+		changed := f.Table.Changed()
+		left := time.Until(deadline)
+		if left <= 0 {
+			if err := f.pull(ctx, address); err != nil {
+				f.Logger.Debug("announced items not pulled", "peer", address, "error", err)
+			}
+			return
+		}
+		if d.AsOf <= f.Table.AsOf() || !waitFor(ctx, changed, left) {
+			break
+		}
+	}
+	f.Table.Merge(d, time.Now())
+}
+
 // peerFor returns the address to follow after a number of failures, empty for
 // none.
 func (f *Follower) peerFor(slot, failures int) string {
--- a/internal/discovery/server.go
+++ b/internal/discovery/server.go
@@ -50,8 +50,9 @@
 }
 
 // Serve sends a delta at each change, and an empty one at least at each
-// interval, until the context ends or send fails.
-func (s *Server) Serve(ctx context.Context, cursor vanillabarrow.Cursor, send func(*vanillabarrow.Delta) error) error {
+// interval, until the context ends or send fails. With announceOnly set deltas
+// carry no items, only the revision up to which the node knows them.
+func (s *Server) Serve(ctx context.Context, cursor vanillabarrow.Cursor, announceOnly bool, send func(*vanillabarrow.Delta) error) error {
 	defer s.streams.Add(-1)
 	if s.streams.Add(1) > maxStreams {
 		return ErrBusy
@@ -61,6 +62,9 @@
 	for {
 		changed := s.table.Changed()
 		d := s.Pull(cursor)
+		if announceOnly {
+			d.Items = nil
+		}
 		if err := send(d); err != nil {
 			return err
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -47,6 +48,7 @@
 	Retry         vanillabarrow.RetryPolicy
 	Forwarder     vanillabarrow.Forwarder
 	Loads         *Loads
+	Throttle      *Throttle
 	Tokens        *Tokens
 	Scope         tally.Scope
 	// NewID returns a unique id for an attempt.
@@ -156,6 +158,11 @@
 
 // attemptAll makes attempts until one ends the request.
 func (d *Dispatcher) attemptAll(ctx context.Context, f *flight) (*vanillabarrow.Answer, error) {
+	if f.request.MaxAttempts > 0 {
+		if err := d.Throttle.Admit(f.request); err != nil {
+			return nil, err
+		}
+	}
 	d.Retry.Observe(f.service.Name)
 	var last *vanillabarrow.Refusal
 	for {
@@ -167,6 +174,9 @@
 			return f.end(noTarget(last))
 		}
 		answer, err := d.attemptAt(ctx, f, target)
+		if err == nil && f.request.MaxAttempts > 0 {
+			d.Throttle.Observe(f.request.Route, answer.Status == http.StatusInternalServerError)
+		}
 		if err == nil && !d.mayReplace(ctx, f, answer) {
 			f.discard()
 			return answer, nil
--- a/internal/dispatch/plugin.go
+++ b/internal/dispatch/plugin.go
@@ -20,11 +20,14 @@
 	kernel.Register(kernel.Plugin{
 		Name: "dispatch",
 		Options: fx.Options(
-			fx.Provide(NewLoads, NewTokens, fromParts),
+			fx.Provide(NewLoads, NewTokens, NewThrottle, fromParts),
 			fx.Invoke(startSweep),
 			kernel.ProvideState(func(l *Loads) kernel.StateSource {
 				return kernel.StateSource{Name: "loads", State: func() any { return l.State(time.Now()) }}
 			}),
+			kernel.ProvideState(func(t *Throttle) kernel.StateSource {
+				return kernel.StateSource{Name: "throttle", State: func() any { return t.Shares() }}
+			}),
 		),
 	})
 }
@@ -40,6 +43,7 @@
 	Retry         vanillabarrow.RetryPolicy
 	Forwarder     vanillabarrow.Forwarder
 	Loads         *Loads
+	Throttle      *Throttle
 	Tokens        *Tokens
 	Scope         tally.Scope
 }
@@ -54,6 +58,7 @@
 		Retry:         p.Retry,
 		Forwarder:     p.Forwarder,
 		Loads:         p.Loads,
+		Throttle:      p.Throttle,
 		Tokens:        p.Tokens,
 		Scope:         p.Scope,
 		NewID:         p.Identity.NewID,
--- a/internal/kernel/identity.go
+++ b/internal/kernel/identity.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"encoding/base64"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -10,6 +11,9 @@
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 )
 
+// shortIDBytes is enough for a fleet whose nodes restart daily over years.
+const shortIDBytes = 9
+
 // Identity names one run of a node.
 type Identity struct {
 	VM         string
@@ -38,7 +42,14 @@
 
 // NewIdentity returns an identity with a fresh incarnation.
 func NewIdentity(vm, dataCentre string, own vanillabarrow.TargetRef) *Identity {
-	return &Identity{VM: vm, DataCentre: dataCentre, Own: own, Incarnation: uuid.NewString()}
+	return &Identity{VM: vm, DataCentre: dataCentre, Own: own, Incarnation: shortID()}
+}
+
+// shortID returns a random id of 12 characters. It is in every message between
+// nodes.
+func shortID() string {
+	id := uuid.New()
+	return base64.RawURLEncoding.EncodeToString(id[:shortIDBytes])
 }
 
 // NewID returns an id that no other node and no other run uses.
--- a/internal/kernel/lock.go
+++ b/internal/kernel/lock.go
@@ -19,6 +19,8 @@
 	RankTokens
 	RankRetry
 	RankSplits
+	RankBudgets
+	RankThrottle
 	RankTarget
 	RankPool
 )
--- a/internal/limit/ordered.go
+++ b/internal/limit/ordered.go
@@ -16,6 +16,9 @@
 	// coldBurstShare is the share of a second's warm-up rate that a cold target
 	// gets at once, so that no sliding second holds much more than the rate.
 	coldBurstShare = 8
+	// coldShare is the part of the warm-up rate that a cold target is given. A
+	// target bears somewhat more than it announces.
+	coldShare = 1.2
 	// workWeight is the weight of a new work time in a class's estimate.
 	workWeight = 0.05
 	// failureWeight is the weight of a new outcome in the failure share.
@@ -124,6 +127,9 @@
 	if at >= minWaiters && now.Add(wait+c.work).After(c.limit()) {
 		return nil, refuse(vanillabarrow.ReasonOverloaded, "no slot in time", wait)
 	}
+	if o.displaces(c, at, now) {
+		return nil, refuse(vanillabarrow.ReasonOverloaded, "others that wait would be late", wait)
+	}
 	o.waiters = slices.Insert(o.waiters, at, c)
 	c.expiry = time.AfterFunc(c.Deadline.Add(-c.work/2).Sub(now), func() { o.expire(c) })
 	o.dropLate(at+1, now)
@@ -131,6 +137,31 @@
 	return c, nil
 }
 
+// displaces reports whether a claim at a place in the queue would make one of
+// its own rank late that waits already. Only lower ranks give way.
+func (o *Ordered) displaces(c *claim, at int, now time.Time) bool {
+	for i := at; i < len(o.waiters); i++ {
+		w := o.waiters[i]
+		if w.rank() > c.rank() || w.late(now) {
+			continue
+		}
+		if now.Add(o.waitAt(i+1, now) + w.work).After(w.limit()) {
+			return true
+		}
+	}
+	return false
+}
+
+// rank is the place of a request before its time counts: its priority, and
+// within it whether its caller comes back after a refusal.
+func (c *claim) rank() int {
+	rank := 2 * c.Priority
+	if !c.Resent {
+		rank++
+	}
+	return rank
+}
+
 // limit is when a request has to be done to be worth its place: its objective,
 // or its deadline when that alone counts.
 func (c *claim) limit() time.Time {
@@ -150,7 +181,7 @@
 
 // order compares two claims: the one that goes first is less.
 func (o *Ordered) order(a, b *claim, now time.Time) int {
-	if d := cmp.Compare(a.Priority, b.Priority); d != 0 {
+	if d := cmp.Compare(a.rank(), b.rank()); d != 0 {
 		return d
 	}
 	if late := a.late(now); late != b.late(now) {
@@ -374,7 +405,7 @@
 	o.slots = max(1, target.Slots)
 	if service != nil && service.WarmUpRate > 0 && service.WarmUpRate != o.warmRate {
 		o.warmUp, o.warmRate = service.WarmUp, service.WarmUpRate
-		o.pace = rate.NewLimiter(rate.Limit(o.warmRate), max(1, int(o.warmRate/coldBurstShare)))
+		o.pace = rate.NewLimiter(rate.Limit(coldShare*o.warmRate), max(1, int(o.warmRate/coldBurstShare)))
 		// What a former process sent in the last second is not known.
 		o.pace.AllowN(now, o.pace.Burst())
 	}
--- a/internal/peer/discovery.go
+++ b/internal/peer/discovery.go
@@ -38,7 +38,7 @@
 
 // Follow implements the Discovery service.
 func (s *DiscoveryServer) Follow(ctx context.Context, r *connect.Request[controlv1.FollowRequest], stream *connect.ServerStream[controlv1.Delta]) error {
-	err := s.server.Serve(ctx, cursorFromProto(r.Msg), func(d *vanillabarrow.Delta) error {
+	err := s.server.Serve(ctx, cursorFromProto(r.Msg), r.Msg.GetAnnounceOnly(), func(d *vanillabarrow.Delta) error {
 		return stream.Send(deltaToProto(d, time.Now()))
 	})
 	if errors.Is(err, discovery.ErrBusy) {
@@ -83,12 +83,14 @@
 
 // Follow implements vanillabarrow.ItemRelay. It ends with an error when nothing
 // arrives for a time.
-func (c *DiscoveryClient) Follow(ctx context.Context, address string, cursor vanillabarrow.Cursor, receive func(*vanillabarrow.Delta) error) error {
+func (c *DiscoveryClient) Follow(ctx context.Context, address string, cursor vanillabarrow.Cursor, announceOnly bool, receive func(*vanillabarrow.Delta) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(discovery.SilenceLimit, func() { cancel(errSilent) })
 	defer silence.Stop()
-	stream, err := controlv1connect.NewDiscoveryClient(c.client, "http://"+address, uncompressedClient...).Follow(ctx, c.request(cursor))
+	request := c.request(cursor)
+	request.Msg.AnnounceOnly = announceOnly
+	stream, err := controlv1connect.NewDiscoveryClient(c.client, "http://"+address, uncompressedClient...).Follow(ctx, request)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -32,6 +32,7 @@
 	headerPriority   = "Vb-Priority"
 	headerObjective  = "Vb-Objective"
 	headerLate       = "Vb-Late"
+	headerResent     = "Vb-Resent"
 	headerLoad       = "Vb-Load"
 	headerVerdict    = "Vb-Verdict"
 	headerReason     = "Vb-Reason"
@@ -117,6 +118,9 @@
 	if a.Request.Idempotent {
 		h.Set(headerIdempotent, "1")
 	}
+	if a.Request.Resent {
+		h.Set(headerResent, "1")
+	}
 	if a.Late {
 		h.Set(headerLate, "1")
 	}
@@ -158,6 +162,7 @@
 			RetriesLeft: numbers[2],
 			Size:        r.ContentLength,
 			Route:       h.Get(headerRoute),
+			Resent:      h.Get(headerResent) == "1",
 		},
 	}
 	return a, readQueueing(h, a.Request, now)
