Do not put callers that come back before others

Cause: requests with less than 93% of the usual budget counted as sent again and went first; nested calls and callers of slow requests were taken for them, and fresh requests became late behind them.

--- a/internal/caller/plugin.go
+++ b/internal/caller/plugin.go
@@ -15,7 +15,7 @@
 	kernel.Register(kernel.Plugin{
 		Name: "caller",
 		Options: fx.Options(
-			fx.Provide(fromParts, route.NewSplits, route.NewBudgets),
+			fx.Provide(fromParts, route.NewSplits),
 			fx.Invoke(serve),
 			kernel.ProvideDrainer(func(s *Server) kernel.Drainer {
 				return kernel.Drainer{Name: "caller", Drain: s.Drain}
@@ -41,7 +41,6 @@
 	Configuration vanillabarrow.Configuration
 	Protocol      vanillabarrow.CallerProtocol
 	Splits        *route.Splits
-	Budgets       *route.Budgets
 	Settings      settings.Settings
 	Identity      *kernel.Identity
 	Logger        *slog.Logger
@@ -53,7 +52,6 @@
 		Configuration: p.Configuration,
 		Protocol:      p.Protocol,
 		Splits:        p.Splits,
-		Budgets:       p.Budgets,
 		Logger:        p.Logger,
 		NewID:         p.Identity.NewID,
 		MaxBodyBytes:  p.Settings.Requests.MaxBodyBytes,
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -27,7 +27,6 @@
 	Configuration vanillabarrow.Configuration
 	Protocol      vanillabarrow.CallerProtocol
 	Splits        *route.Splits
-	Budgets       *route.Budgets
 	Logger        *slog.Logger
 	NewID         func() string
 	MaxBodyBytes  int64
@@ -112,7 +111,6 @@
 	if err != nil {
 		return nil, ctx, cancel, badRequest(vanillabarrow.ReasonBadRequest, err.Error())
 	}
-	request.Resent = s.Budgets.Resent(request.Route, budget)
 	if err := s.readBody(r, request, snapshot.Limits); err != nil {
 		return nil, ctx, cancel, err
 	}
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -55,7 +55,7 @@
 func newServer(t *testing.T, d *scripted, s *vanillabarrow.Snapshot) (*Server, string) {
 	server := New(Config{
 		Dispatcher: d, Configuration: configuration{s}, Logger: slog.New(slog.DiscardHandler),
-		Protocol: NewProtocol(), Splits: route.NewSplits(), Budgets: route.NewBudgets(), NewID: func() string { return "id" }, MaxBodyBytes: maxBody, MaxInFlight: 10,
+		Protocol: NewProtocol(), Splits: route.NewSplits(), NewID: func() string { return "id" }, MaxBodyBytes: maxBody, MaxInFlight: 10,
 	})
 	ts := httptest.NewServer(server.Handler())
 	t.Cleanup(ts.Close)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -270,7 +270,6 @@
 		Objective: a.Request.Objective,
 		Deadline:  a.Deadline,
 		Late:      a.Late,
-		Resent:    a.Request.Resent,
 	}
 }
 
--- a/internal/kernel/lock.go
+++ b/internal/kernel/lock.go
@@ -19,7 +19,6 @@
 	RankTokens
 	RankRetry
 	RankSplits
-	RankBudgets
 	RankThrottle
 	RankTarget
 	RankPool
--- a/internal/limit/ordered.go
+++ b/internal/limit/ordered.go
@@ -138,11 +138,11 @@
 }
 
 // displaces reports whether a claim at a place in the queue would make one of
-// its own rank late that waits already. Only lower ranks give way.
+// its own priority late that waits already. Only lower ones give way.
 func (o *Ordered) displaces(c *claim, at int, now time.Time) bool {
 	for i := at; i < len(o.waiters); i++ {
 		w := o.waiters[i]
-		if w.rank() > c.rank() || w.late(now) {
+		if w.Priority > c.Priority || w.late(now) {
 			continue
 		}
 		if now.Add(o.waitAt(i+1, now) + w.work).After(w.limit()) {
@@ -152,16 +152,6 @@
 	return false
 }
 
-// rank is the place of a request before its time counts: its priority, and
-// within it whether its caller comes back after a refusal.
-func (c *claim) rank() int {
-	rank := 2 * c.Priority
-	if !c.Resent {
-		rank++
-	}
-	return rank
-}
-
 // limit is when a request has to be done to be worth its place: its objective,
 // or its deadline when that alone counts.
 func (c *claim) limit() time.Time {
@@ -181,7 +171,7 @@
 
 // order compares two claims: the one that goes first is less.
 func (o *Ordered) order(a, b *claim, now time.Time) int {
-	if d := cmp.Compare(a.rank(), b.rank()); d != 0 {
+	if d := cmp.Compare(a.Priority, b.Priority); d != 0 {
 		return d
 	}
 	if late := a.late(now); late != b.late(now) {
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -32,7 +32,6 @@
 	headerPriority   = "Vb-Priority"
 	headerObjective  = "Vb-Objective"
 	headerLate       = "Vb-Late"
-	headerResent     = "Vb-Resent"
 	headerLoad       = "Vb-Load"
 	headerVerdict    = "Vb-Verdict"
 	headerReason     = "Vb-Reason"
@@ -118,9 +117,6 @@
 	if a.Request.Idempotent {
 		h.Set(headerIdempotent, "1")
 	}
-	if a.Request.Resent {
-		h.Set(headerResent, "1")
-	}
 	if a.Late {
 		h.Set(headerLate, "1")
 	}
@@ -162,7 +158,6 @@
 			RetriesLeft: numbers[2],
 			Size:        r.ContentLength,
 			Route:       h.Get(headerRoute),
-			Resent:      h.Get(headerResent) == "1",
 		},
 	}
 	return a, readQueueing(h, a.Request, now)
--- a/request.go
+++ b/request.go
@@ -45,9 +45,6 @@
 	Objective time.Time
 	// Priority is the rank in a queue. 0 goes first.
 	Priority int
-	// Resent is set when the caller used part of its time before, on a refusal
-	// or on the request that this one serves.
-	Resent bool
 	// Key is the caller's idempotency key, or empty.
 	Key string
 	// Depth is the number of mesh hops above this request.
@@ -110,9 +107,6 @@
 	Deadline time.Time
 	// Late is set when the deadline alone counts.
 	Late bool
-	// Resent is set when the caller used part of its time before, on a refusal
-	// or on the request that this one serves.
-	Resent bool
 }
 
 // AttemptState is a gate's knowledge of one attempt.
