--- a/internal/dispatch/throttle.go
+++ b/internal/dispatch/throttle.go
@@ -11,9 +11,9 @@
 const (
 	// throttleCut is the part of a route's share that each failed answer
 	// takes, and throttleGain the share that each good one gives back. Together
-	// they let about one request in eleven fail.
+	// they let about one request in four fail.
 	throttleCut  = 0.1
-	throttleGain = 0.01
+	throttleGain = 0.03
 	// throttleFloor is the smallest share let through, so that recovery is
 	// noticed.
 	throttleFloor = 0.1
