Set a data centre aside when connections to two of its targets fail

Change: connections to two targets that fail within 1.5 s set the data centre aside; one request now and then tries it. Requests on their way there that may run more than once go elsewhere at once. A target that can't be reached is set aside and tried again by one request instead of being left out for two seconds. Cold targets get 1.35 times their rate, bytes unacknowledged for 350 ms break a connection.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -62,20 +62,38 @@
 		RetriesLeft: max(0, min(f.service.Retries, f.request.RetriesLeft)-f.retries),
 	}
 	d.Loads.begin(target.Name, time.Now())
-	answer, err := d.settled(ctx, a)
+	d.Areas.begin(vm.DataCentre, time.Now())
+	answer, err := d.settled(ctx, a, vm.DataCentre)
 	healthy := true
 	if err != nil {
 		refusal := vanillabarrow.AsRefusal(err)
 		healthy = !faulty(refusal.Reason)
 		d.Tokens.Put(target.Name, refusal.Token)
 		if refusal.Reason == vanillabarrow.ReasonConnectionFailed {
-			d.Members.Suspect(target.VM)
+			d.unreachable(f, target, vm.DataCentre)
 		}
 	}
+	if err == nil || vanillabarrow.AsRefusal(err).Reason != vanillabarrow.ReasonConnectionFailed {
+		d.Areas.Heard(vm.DataCentre)
+	}
 	d.Loads.end(target.Name, healthy, time.Now())
 	return answer, err
 }
 
+// unreachable notes that a node could not be reached. A route that bounds the
+// targets it may reach has its next gate at hand, so the node is only set aside
+// until a trial reaches it.
+func (d *Dispatcher) unreachable(f *flight, target *vanillabarrow.Target, dataCentre string) {
+	if f.request.MaxAttempts == 0 {
+		d.Members.Suspect(target.VM)
+		return
+	}
+	d.Loads.unreachable(target.Name)
+	if d.Areas.Failed(dataCentre, target.Name, time.Now()) {
+		d.Scope.Counter("areasSetAside").Inc(1)
+	}
+}
+
 // faulty reports whether the reason speaks against the target or its node.
 func faulty(reason vanillabarrow.Reason) bool {
 	switch reason {
@@ -91,16 +109,24 @@
 // settled sends the attempt and stays with it until its outcome is known, its
 // deadline passes or the gate can't know. While no answer comes it asks the
 // gate over another connection, which finds silent connections.
-func (d *Dispatcher) settled(ctx context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+func (d *Dispatcher) settled(ctx context.Context, a *vanillabarrow.Attempt, dataCentre string) (*vanillabarrow.Answer, error) {
 	forwardCtx, cancel := context.WithCancel(ctx)
 	r := &attemptRun{dispatcher: d, attempt: a, cancel: cancel, result: make(chan outcome, 1)}
 	go r.run(forwardCtx)
 	timer := time.NewTimer(d.AskAfter)
 	defer timer.Stop()
+	var lost <-chan struct{}
+	if a.Request.MaxAttempts > 0 && a.Request.Idempotent {
+		lost = d.Areas.Lost(dataCentre)
+	}
 	for {
 		select {
 		case out := <-r.result:
 			return d.finish(ctx, r, out)
+		case <-lost:
+			cancel()
+			go r.loopDiscard()
+			return nil, vanillabarrow.MayHaveRun(vanillabarrow.ReasonConnectionFailed, "the data centre can't be reached")
 		case <-timer.C:
 			if out, settled := d.probe(ctx, a); settled {
 				cancel()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -49,6 +49,7 @@
 	Forwarder     vanillabarrow.Forwarder
 	Loads         *Loads
 	Throttle      *Throttle
+	Areas         *Areas
 	Tokens        *Tokens
 	Scope         tally.Scope
 	// NewID returns a unique id for an attempt.
@@ -349,6 +350,9 @@
 		if t.Out || t.Draining || f.tried[name] || !d.Members.Live(t.VM) {
 			continue
 		}
+		if dc := s.VMs[t.VM].DataCentre; dc != d.DataCentre && !d.Areas.Open(dc, now) {
+			continue
+		}
 		c := vanillabarrow.Candidate{Target: t, Distance: route.Distance(s, d.DataCentre, t), Bytes: bytes}
 		if d.Loads.fill(&c, now) {
 			candidates = append(candidates, c)
--- a/internal/dispatch/loads.go
+++ b/internal/dispatch/loads.go
@@ -13,7 +13,7 @@
 	asideAfter = 3
 	// asideBase and asideLimit bound the time that a target is set aside.
 	asideBase  = 200 * time.Millisecond
-	asideLimit = 5 * time.Second
+	asideLimit = 2 * time.Second
 	// sizeWeight is the weight of a new answer in the size of a route's answers,
 	// and maxSizes bounds the routes remembered.
 	sizeWeight = 0.05
@@ -92,6 +92,14 @@
 	t.trial = t.failures >= asideAfter
 }
 
+// unreachable sets the target aside at its next end of an attempt.
+func (l *Loads) unreachable(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.get(target)
+	t.failures = max(t.failures, asideAfter-1)
+}
+
 // end counts the end of an attempt. Healthy is false when the target or its
 // node failed; an honest refusal is no failure.
 func (l *Loads) end(target string, healthy bool, now time.Time) {
--- a/internal/dispatch/plugin.go
+++ b/internal/dispatch/plugin.go
@@ -20,11 +20,14 @@
 	kernel.Register(kernel.Plugin{
 		Name: "dispatch",
 		Options: fx.Options(
-			fx.Provide(NewLoads, NewTokens, NewThrottle, fromParts),
+			fx.Provide(NewLoads, NewTokens, NewThrottle, NewAreas, fromParts),
 			fx.Invoke(startSweep),
 			kernel.ProvideState(func(l *Loads) kernel.StateSource {
 				return kernel.StateSource{Name: "loads", State: func() any { return l.State(time.Now()) }}
 			}),
+			kernel.ProvideState(func(a *Areas) kernel.StateSource {
+				return kernel.StateSource{Name: "dataCentresAside", State: func() any { return a.Aside() }}
+			}),
 			kernel.ProvideState(func(t *Throttle) kernel.StateSource {
 				return kernel.StateSource{Name: "throttle", State: func() any { return t.Shares() }}
 			}),
@@ -44,6 +47,7 @@
 	Forwarder     vanillabarrow.Forwarder
 	Loads         *Loads
 	Throttle      *Throttle
+	Areas         *Areas
 	Tokens        *Tokens
 	Scope         tally.Scope
 }
@@ -59,6 +63,7 @@
 		Forwarder:     p.Forwarder,
 		Loads:         p.Loads,
 		Throttle:      p.Throttle,
+		Areas:         p.Areas,
 		Tokens:        p.Tokens,
 		Scope:         p.Scope,
 		NewID:         p.Identity.NewID,
--- a/internal/kernel/lock.go
+++ b/internal/kernel/lock.go
@@ -20,6 +20,7 @@
 	RankRetry
 	RankSplits
 	RankThrottle
+	RankAreas
 	RankTarget
 	RankPool
 )
--- a/internal/limit/ordered.go
+++ b/internal/limit/ordered.go
@@ -18,7 +18,7 @@
 	coldBurstShare = 8
 	// coldShare is the part of the warm-up rate that a cold target is given. A
 	// target bears somewhat more than it announces.
-	coldShare = 1.2
+	coldShare = 1.35
 	// workWeight is the weight of a new work time in a class's estimate.
 	workWeight = 0.05
 	// failureWeight is the weight of a new outcome in the failure share.
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -32,7 +32,7 @@
 	dialTimeout = 250 * time.Millisecond
 	// unackedTimeout breaks a connection whose bytes the other side does not
 	// acknowledge. One lost packet is sent again after 200 ms.
-	unackedTimeout = 450 * time.Millisecond
+	unackedTimeout = 350 * time.Millisecond
 	// holdBack is the largest body, in bytes, that is sent with the head of a
 	// request that may run more than once.
 	holdBack = 4 << 10
