Refuse what comes over open connections once a node is about to end

The library's shutdown leaves connections alone that have not carried a request yet. Change: after the notice the caller's server refuses new requests as not run. Test: TestCloseRefuses, which fails without the refusal.

--- a/internal/caller/plugin.go
+++ b/internal/caller/plugin.go
@@ -18,7 +18,7 @@
 			fx.Provide(fromParts, route.NewSplits),
 			fx.Invoke(serve),
 			kernel.ProvideDrainer(func(s *Server) kernel.Drainer {
-				return kernel.Drainer{Name: "caller", Drain: s.Drain}
+				return kernel.Drainer{Name: "caller", Drain: s.Drain, Close: s.Close}
 			}),
 			kernel.ProvideState(func(s *Server) kernel.StateSource {
 				return kernel.StateSource{Name: "caller", State: func() any {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -38,6 +38,7 @@
 	Config
 	inFlight atomic.Int64
 	draining atomic.Bool
+	closed   atomic.Bool
 }
 
 // New returns a server.
@@ -47,6 +48,10 @@
 // come are served.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Close makes the server refuse what still comes over connections that were
+// open before. The process ends before such requests could be served.
+func (s *Server) Close() { s.closed.Store(true) }
+
 // InFlight returns the number of open requests.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
@@ -62,6 +67,10 @@
 	if s.draining.Load() && r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
 	}
+	if s.closed.Load() {
+		s.refuse(w, vanillabarrow.NotRun(vanillabarrow.ReasonDraining, "the node is about to end"))
+		return
+	}
 	defer s.inFlight.Add(-1)
 	if s.inFlight.Add(1) > int64(s.MaxInFlight) {
 		refusal := vanillabarrow.NotRun(vanillabarrow.ReasonOverloaded, "too many requests at this node")
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -192,3 +192,35 @@
 		require.Equal(t, http.StatusOK, response.StatusCode)
 	}
 }
+
+// TestCloseRefuses sends a request over a connection that was open before the
+// node began to leave: first it is served, then refused as not run.
+func TestCloseRefuses(t *testing.T) {
+	tests := map[string]struct {
+		leave  func(s *Server)
+		status int
+		asked  bool
+	}{
+		"serving":  {func(*Server) {}, http.StatusOK, true},
+		"draining": {func(s *Server) { s.Drain() }, http.StatusOK, true},
+		"closed": {func(s *Server) {
+			s.Drain()
+			s.Close()
+		}, http.StatusServiceUnavailable, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := &scripted{answer: &vanillabarrow.Answer{Status: http.StatusOK}}
+			server, url := newServer(t, d, snapshot())
+			tt.leave(server)
+			response, err := http.Post(url+"/returns", "text/plain", strings.NewReader("x"))
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			require.Equal(t, tt.status, response.StatusCode)
+			require.Equal(t, tt.asked, d.request != nil)
+			if !tt.asked {
+				require.Equal(t, vanillabarrow.VerdictNotRun.String(), response.Header.Get(VerdictHeader))
+			}
+		})
+	}
+}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -146,6 +146,8 @@
 		Members:       members{},
 		Balancer:      balance.New(vanillabarrow.BalancerTwoChoices),
 		AskAfter:      300 * time.Millisecond,
+		Throttle:      dispatch.NewThrottle(),
+		Areas:         dispatch.NewAreas(),
 		Retry:         retry.New(retry.DefaultConfig()),
 		Forwarder:     link,
 		Loads:         link.loads,
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -77,6 +77,9 @@
 type Drainer struct {
 	Name  string
 	Drain func()
+	// Close is called when callers and nodes have had time to move on, before
+	// the listeners close. It may be nil.
+	Close func()
 }
 
 // ProvideState returns the option that contributes a constructor of a
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,6 +137,11 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	for _, d := range n.drainers {
+		if d.Close != nil {
+			d.Close()
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.DrainTimeout)
 	defer cancel()
 	return n.app.Stop(ctx)
