Take a whole state for whole, and look for news anywhere when the usual nodes have none

TestNewsReachEveryNode found that readers which the store turns away followed only each other. Change: a state given for a cursor of another life is a listing, in which removals count as absent; an announcement is none. A node without a recent word of the platform follows any other node, and leaves one that has none either.

--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -16,6 +16,8 @@
 	// announceGrace is how long the node's own sources may take to bring what
 	// a node elsewhere has announced.
 	announceGrace = 400 * time.Millisecond
+	// anyPeers bounds the nodes drawn when the usual ones have no news.
+	anyPeers = 4
 	// followFor bounds the time with one node, so that the tree forms again
 	// after a failure.
 	followFor = 20 * time.Second
@@ -24,6 +26,8 @@
 var (
 	// errDraining ends the stream of a node that is about to leave.
 	errDraining = errors.New("peer is draining")
+	// errStale ends the stream of a node that knows no more than this one.
+	errStale = errors.New("peer has no recent word of the platform")
 	// errMoved ends the stream of a node that is no longer to be followed.
 	errMoved = errors.New("another node is to be followed")
 )
@@ -71,6 +75,9 @@
 		if d.Draining {
 			return errDraining
 		}
+		if d.SourceAge > staleAfter && f.stale() {
+			return errStale
+		}
 		if time.Since(started) > followFor && f.peerFor(slot, 0) != address {
 			return errMoved
 		}
@@ -116,6 +123,10 @@
 	}
 	own, remote := addresses(view.Parents), addresses(view.Remote)
 	own = append(own, addresses(view.Above)...)
+	if f.stale() {
+		// The usual nodes know no more than this one, so any other may.
+		return f.others(addresses(f.Members.Peers(anyPeers)))
+	}
 	if slot == 0 {
 		if view.Reader {
 			return nil
@@ -125,6 +136,9 @@
 	return f.others(rotate(remote, view.Rank))
 }
 
+// stale reports whether the platform's last word is old.
+func (f *Follower) stale() bool { return time.Since(f.Table.Confirmed()) > staleAfter }
+
 // rotate starts the list at another place for each rank, so that the nodes of
 // a data centre follow different nodes elsewhere.
 func rotate(list []string, n int) []string {
--- a/internal/discovery/server.go
+++ b/internal/discovery/server.go
@@ -63,7 +63,7 @@
 		changed := s.table.Changed()
 		d := s.Pull(cursor)
 		if announceOnly {
-			d.Items = nil
+			d.Items, d.Full = nil, false
 		}
 		if err := send(d); err != nil {
 			return err
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -42,7 +42,7 @@
 	if f.Table.AsOf() == 0 || f.Members.View().Reader {
 		return true
 	}
-	return time.Since(f.Table.Confirmed()) > staleAfter
+	return f.stale()
 }
 
 // readOnce makes one call and waits as long as its outcome asks for.
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -54,7 +54,9 @@
 	before := t.sequence
 	listed := make(map[string]bool, len(d.Items))
 	for _, item := range d.Items {
-		listed[item.Key] = true
+		if !item.Removed {
+			listed[item.Key] = true
+		}
 		t.put(item, now)
 	}
 	if d.Full {
@@ -142,12 +144,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	after := c.Sequence
-	if c.Incarnation != t.incarnation {
+	whole := c.Incarnation != t.incarnation
+	if whole {
 		after = 0
 	}
 	d := &vanillabarrow.Delta{
 		Cursor: vanillabarrow.Cursor{Incarnation: t.incarnation, Sequence: t.sequence},
 		AsOf:   t.asOf,
+		// What this node lacks is gone, even if it never knew of it.
+		Full: whole,
 	}
 	d.SourceAge = neverConfirmed
 	if !t.confirmedAt.IsZero() {
--- /dev/null
+++ b/internal/discovery/table_test.go
@@ -0,0 +1,207 @@
+package discovery
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/property"
+)
+
+func item(key, value string, revision vanillabarrow.Version) vanillabarrow.Item {
+	return vanillabarrow.Item{Key: key, Value: []byte(value), Revision: revision, Created: revision}
+}
+
+func removed(key string, revision vanillabarrow.Version, keep time.Time) vanillabarrow.Item {
+	return vanillabarrow.Item{Key: key, Revision: revision, Removed: true, KeepUntil: keep}
+}
+
+func TestMerge(t *testing.T) {
+	now := time.Now()
+	tests := map[string]struct {
+		deltas []*vanillabarrow.Delta
+		want   map[string]string
+		asOf   vanillabarrow.Version
+	}{
+		"newest revision wins in any order": {
+			[]*vanillabarrow.Delta{
+				{AsOf: 5, Items: []vanillabarrow.Item{item("a", "new", 5)}},
+				{AsOf: 3, Items: []vanillabarrow.Item{item("a", "old", 3)}},
+			},
+			map[string]string{"a": "new"},
+			5,
+		},
+		"removal wins over an older value that comes later": {
+			[]*vanillabarrow.Delta{
+				{AsOf: 5, Items: []vanillabarrow.Item{removed("a", 5, now)}},
+				{AsOf: 3, Items: []vanillabarrow.Item{item("a", "old", 3)}},
+			},
+			map[string]string{},
+			5,
+		},
+		"a removed item counts while it is kept": {
+			[]*vanillabarrow.Delta{
+				{AsOf: 3, Items: []vanillabarrow.Item{item("a", "old", 3)}},
+				{AsOf: 5, Items: []vanillabarrow.Item{removed("a", 5, now.Add(time.Second))}},
+			},
+			map[string]string{"a": "old"},
+			5,
+		},
+		"an item written again after its removal is back": {
+			[]*vanillabarrow.Delta{
+				{AsOf: 5, Items: []vanillabarrow.Item{removed("a", 5, now)}},
+				{AsOf: 6, Items: []vanillabarrow.Item{item("a", "again", 6)}},
+			},
+			map[string]string{"a": "again"},
+			6,
+		},
+		"a listing keeps what is newer than itself": {
+			[]*vanillabarrow.Delta{
+				{AsOf: 9, Items: []vanillabarrow.Item{item("a", "new", 9)}},
+				{AsOf: 7, Full: true, Items: []vanillabarrow.Item{item("b", "b", 2)}},
+			},
+			map[string]string{"a": "new", "b": "b"},
+			9,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := New("one")
+			for _, d := range tt.deltas {
+				table.Merge(d, now)
+			}
+			require.Equal(t, tt.want, effective(table, now))
+			require.Equal(t, tt.asOf, table.AsOf())
+		})
+	}
+}
+
+func effective(t *Table, now time.Time) map[string]string {
+	items, _ := t.Effective(now)
+	values := map[string]string{}
+	for _, item := range items {
+		values[item.Key] = string(item.Value)
+	}
+	return values
+}
+
+// TestListingRemoves checks that an item that a listing lacks counts on for a
+// moment and is then gone, and that Effective tells when.
+func TestListingRemoves(t *testing.T) {
+	now := time.Now()
+	table := New("one")
+	table.Merge(&vanillabarrow.Delta{AsOf: 3, Items: []vanillabarrow.Item{item("a", "a", 3)}}, now)
+	table.Merge(&vanillabarrow.Delta{AsOf: 7, Full: true}, now)
+	_, until := table.Effective(now)
+	require.Equal(t, now.Add(relistKeep), until)
+	require.Len(t, effective(table, now), 1)
+	require.Empty(t, effective(table, until))
+}
+
+func TestConfirmed(t *testing.T) {
+	now := time.Now()
+	table := New("one")
+	require.Equal(t, neverConfirmed, table.Since(vanillabarrow.Cursor{}, now).SourceAge)
+	table.Merge(&vanillabarrow.Delta{AsOf: 3, SourceAge: time.Second}, now)
+	require.Equal(t, now.Add(-time.Second), table.Confirmed())
+	table.Merge(&vanillabarrow.Delta{AsOf: 2}, now)
+	require.Equal(t, now.Add(-time.Second), table.Confirmed(), "an older view confirms nothing")
+}
+
+// store is a plain account of what the platform holds.
+type store struct {
+	revision vanillabarrow.Version
+	log      []vanillabarrow.Item
+	values   map[string]string
+}
+
+func (s *store) write(key string, remove bool) {
+	s.revision++
+	if remove {
+		delete(s.values, key)
+		s.log = append(s.log, vanillabarrow.Item{Key: key, Revision: s.revision, Removed: true})
+		return
+	}
+	s.values[key] = fmt.Sprint(s.revision)
+	s.log = append(s.log, item(key, s.values[key], s.revision))
+}
+
+// delta returns what a watch after a revision gives, or a listing.
+func (s *store) delta(after vanillabarrow.Version, full bool) *vanillabarrow.Delta {
+	d := &vanillabarrow.Delta{AsOf: s.revision, Full: full}
+	for _, it := range s.log {
+		if full && s.values[it.Key] == string(it.Value) && !it.Removed {
+			d.Items = append(d.Items, it)
+		}
+		if !full && it.Revision > after {
+			d.Items = append(d.Items, it)
+		}
+	}
+	return d
+}
+
+// TestTablesConverge plays writes, watches, listings after lost history and
+// exchanges between three tables, some of them late, and checks that no table
+// goes back and that all hold what the store holds in the end.
+func TestTablesConverge(t *testing.T) {
+	property.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		s := &store{values: map[string]string{}}
+		tables := []*Table{New("a"), New("b"), New("c")}
+		var late []*vanillabarrow.Delta
+		held := make([]map[string]vanillabarrow.Version, len(tables))
+		for i := range held {
+			held[i] = map[string]vanillabarrow.Version{}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(tables)-1).Draw(t, "table")
+			other := tables[rapid.IntRange(0, len(tables)-1).Draw(t, "other")]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				key := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "key")
+				s.write(key, rapid.Bool().Draw(t, "remove"))
+			case 2:
+				tables[i].Merge(s.delta(tables[i].AsOf(), false), now)
+			case 3:
+				tables[i].Merge(s.delta(0, true), now)
+			case 4:
+				late = append(late, other.Since(vanillabarrow.Cursor{}, now))
+			case 5:
+				if len(late) > 0 {
+					tables[i].Merge(late[rapid.IntRange(0, len(late)-1).Draw(t, "late")], now)
+				}
+			}
+			for n, table := range tables {
+				for key, e := range table.entries {
+					require.GreaterOrEqual(t, e.item.Revision, held[n][key])
+					held[n][key] = e.item.Revision
+				}
+			}
+		}
+		tables[0].Merge(s.delta(0, true), now)
+		for _, table := range tables[1:] {
+			table.Merge(tables[0].Since(vanillabarrow.Cursor{}, now), now)
+		}
+		for _, table := range tables {
+			require.Equal(t, s.values, effective(table, now.Add(time.Hour)))
+		}
+	})
+}
+
+// TestSinceCursor checks that a cursor gives only what changed, and that one of
+// another incarnation gives everything.
+func TestSinceCursor(t *testing.T) {
+	now := time.Now()
+	table := New("one")
+	table.Merge(&vanillabarrow.Delta{AsOf: 2, Items: []vanillabarrow.Item{item("a", "a", 1), item("b", "b", 2)}}, now)
+	first := table.Since(vanillabarrow.Cursor{}, now)
+	require.Len(t, first.Items, 2)
+	require.Empty(t, table.Since(first.Cursor, now).Items)
+	table.Merge(&vanillabarrow.Delta{AsOf: 3, Items: []vanillabarrow.Item{item("b", "c", 3)}}, now)
+	require.Len(t, table.Since(first.Cursor, now).Items, 1)
+	require.Len(t, table.Since(vanillabarrow.Cursor{Incarnation: "two", Sequence: 9}, now).Items, 2)
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -205,6 +205,20 @@
 	}
 }
 
+// Peers returns up to n other nodes in random order.
+func (t *Table) Peers(n int) []Peer {
+	t.mu.Lock()
+	peers := make([]Peer, 0, len(t.peers))
+	for name, peer := range t.peers {
+		if name != t.vm && t.states[name] == vanillabarrow.VMLive {
+			peers = append(peers, peer)
+		}
+	}
+	t.mu.Unlock()
+	slices.SortFunc(peers, func(a, b Peer) int { return cmpString(a.VM, b.VM) })
+	return Sample(peers, n)
+}
+
 // Suspects returns the VMs that count as down, for the state dump.
 func (t *Table) Suspects() []string {
 	t.mu.Lock()
