--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -21,7 +21,8 @@
 
 // source is a store that can be away, or away for one node.
 type source struct {
-	mu    sync.Mutex
+	// mu is shared by the sources of a store.
+	mu    *sync.Mutex
 	store *store
 	away  bool
 	calls int
@@ -119,10 +120,11 @@
 func startNodes(t *testing.T, s *store) map[string]*node {
 	w := &wire{servers: map[string]*Server{}}
 	nodes := map[string]*node{}
+	mu := &sync.Mutex{}
 	for _, vm := range []string{"a1", "a2", "b1"} {
 		logger := slog.New(slog.DiscardHandler)
 		table := New(vm)
-		n := &node{source: &source{store: s}, pool: kernel.NewPool(kernel.DefaultPoolConfig(), logger)}
+		n := &node{source: &source{mu: mu, store: s}, pool: kernel.NewPool(kernel.DefaultPoolConfig(), logger)}
 		n.follower = NewFollower(Config{
 			Table: table, Members: membership.New(vm, vm[:1], 1), Source: n.source, Compiler: compiler{}, Relay: w,
 			Pool: n.pool, Logger: logger, Scope: tally.NoopScope, Self: vm, FleetSize: 3, ReadBudget: 100,
--- a/internal/limit/ordered.go
+++ b/internal/limit/ordered.go
@@ -119,7 +119,7 @@
 		o.inFlight++
 		return nil, nil
 	}
-	at, _ := slices.BinarySearchFunc(o.waiters, c, func(a, b *claim) int { return o.order(a, b, now) })
+	at := o.place(c, now)
 	wait := o.waitAt(at, now)
 	if c.Late && o.lateWaiters() >= max(1, o.slots/lateShare) {
 		return nil, refuse(vanillabarrow.ReasonOverloaded, "too many late requests wait", wait)
@@ -180,11 +180,18 @@
 		}
 		return -1
 	}
-	if d := a.due().Compare(b.due()); d != 0 {
-		return d
-	}
-	// An equal claim goes behind those that wait.
-	return -1
+	return a.due().Compare(b.due())
+}
+
+// place returns where a claim goes in the queue: behind its equals.
+func (o *Ordered) place(c *claim, now time.Time) int {
+	at, _ := slices.BinarySearchFunc(o.waiters, c, func(a, b *claim) int {
+		if d := o.order(a, b, now); d != 0 {
+			return d
+		}
+		return -1
+	})
+	return at
 }
 
 // lateWaiters counts the claims for which the deadline alone counts.
