--- a/internal/caller/plugin.go
+++ b/internal/caller/plugin.go
@@ -1,7 +1,9 @@
 package caller
 
 import (
+	"context"
 	"log/slog"
+	"time"
 
 	"go.uber.org/fx"
 
@@ -16,7 +18,7 @@
 		Name: "caller",
 		Options: fx.Options(
 			fx.Provide(fromParts, route.NewSplits),
-			fx.Invoke(serve),
+			fx.Invoke(serve, startSweep),
 			kernel.ProvideDrainer(func(s *Server) kernel.Drainer {
 				return kernel.Drainer{Name: "caller", Drain: s.Drain, Close: s.Close}
 			}),
@@ -34,6 +36,20 @@
 	})
 }
 
+// sweepInterval is the period at which routes that are gone are forgotten.
+const sweepInterval = time.Minute
+
+func startSweep(lc fx.Lifecycle, pool *kernel.Pool, splits *route.Splits, cfg vanillabarrow.Configuration) {
+	sweep := func(context.Context) {
+		if snapshot := cfg.Snapshot(); snapshot != nil {
+			splits.Keep(snapshot.Routes)
+		}
+	}
+	lc.Append(fx.StartHook(func() {
+		pool.Every(func() time.Duration { return sweepInterval }, false, "caller.sweep", sweep)
+	}))
+}
+
 // parts are the constructor arguments that the kernel fills in.
 type parts struct {
 	fx.In
--- /dev/null
+++ b/internal/dispatch/next_test.go
@@ -0,0 +1,232 @@
+package dispatch_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/balance"
+	"github.com/vanillabarrow/vanillabarrow/internal/dispatch"
+	"github.com/vanillabarrow/vanillabarrow/internal/retry"
+)
+
+// gates answers attempts by target as the test says and keeps their order.
+type gates struct {
+	mu    sync.Mutex
+	ends  map[string]func(a *vanillabarrow.Attempt) (*vanillabarrow.Answer, error)
+	tried []string
+	late  []bool
+}
+
+func (g *gates) Forward(_ context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tried = append(g.tried, a.Target.Name)
+	g.late = append(g.late, a.Late)
+	return g.ends[a.Target.Name](a)
+}
+
+func (*gates) Ask(context.Context, *vanillabarrow.Attempt) (*vanillabarrow.AttemptReport, error) {
+	return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptUnknown}, nil
+}
+
+func refusing(reason vanillabarrow.Reason) func(*vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	return func(*vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+		r := vanillabarrow.NotRun(reason, "")
+		r.RetryAfter = 70 * time.Millisecond
+		return nil, r
+	}
+}
+
+func losing(*vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	return nil, vanillabarrow.MayHaveRun(vanillabarrow.ReasonTargetFailed, "")
+}
+
+func answering(status int) func(*vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	return func(a *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+		return &vanillabarrow.Answer{Status: status, Target: a.Target.Name}, nil
+	}
+}
+
+// full refuses while the objective counts.
+func full(a *vanillabarrow.Attempt) (*vanillabarrow.Answer, error) {
+	if a.Late {
+		return answering(http.StatusOK)(a)
+	}
+	return refusing(vanillabarrow.ReasonOverloaded)(a)
+}
+
+func entry(g *gates) (*dispatch.Dispatcher, *dispatch.Throttle) {
+	s := &vanillabarrow.Snapshot{
+		Services:    map[string]*vanillabarrow.Service{"desk": {Name: "desk", Timeout: time.Second}},
+		Targets:     map[string]*vanillabarrow.Target{},
+		VMs:         map[string]*vanillabarrow.VM{},
+		DataCentres: map[string]*vanillabarrow.DataCentre{"a": {Name: "a"}},
+	}
+	for name := range g.ends {
+		s.Targets[name] = &vanillabarrow.Target{Name: name, Service: "desk", VM: name}
+		s.VMs[name] = &vanillabarrow.VM{Name: name, DataCentre: "a", PeerAddress: name}
+		s.Services["desk"].Targets = append(s.Services["desk"].Targets, name)
+	}
+	cfg := &config{}
+	cfg.snapshot.Store(s)
+	throttle := dispatch.NewThrottle()
+	return dispatch.New(dispatch.Config{
+		VM: "entry", DataCentre: "a", Configuration: cfg, Members: members{},
+		Balancer: balance.New(vanillabarrow.BalancerCheapest), Retry: retry.New(retry.Config{Share: 0, Reserve: 3}),
+		Forwarder: g, Loads: dispatch.NewLoads(), Throttle: throttle, Areas: dispatch.NewAreas(),
+		Tokens: dispatch.NewTokens(), Scope: tally.NoopScope, NewID: func() string { return "id" }, AskAfter: time.Second,
+	}), throttle
+}
+
+// TestNextTarget checks who is asked after what, for routes that bound the
+// targets that a request may reach.
+func TestNextTarget(t *testing.T) {
+	overloaded := refusing(vanillabarrow.ReasonOverloaded)
+	type ends = map[string]func(*vanillabarrow.Attempt) (*vanillabarrow.Answer, error)
+	tests := map[string]struct {
+		ends       ends
+		idempotent bool
+		tries      int
+		status     int
+		verdict    vanillabarrow.Verdict
+	}{
+		"one gate has room":               {ends{"a": overloaded, "b": overloaded, "c": answering(200)}, false, 0, 200, 0},
+		"no gate has room":                {ends{"a": overloaded, "b": overloaded}, false, 3, 0, vanillabarrow.VerdictNotRun},
+		"room when late":                  {ends{"a": full, "b": full}, false, 3, 200, 0},
+		"lost, runs once":                 {ends{"a": losing, "b": losing}, false, 1, 0, vanillabarrow.VerdictMayHaveRun},
+		"lost, may run again":             {ends{"a": losing, "b": losing, "c": losing}, true, 2, 0, vanillabarrow.VerdictMayHaveRun},
+		"targets shed":                    {ends{"a": refusing(vanillabarrow.ReasonShed), "b": refusing(vanillabarrow.ReasonShed), "c": overloaded}, false, 0, 0, vanillabarrow.VerdictNotRun},
+		"fails, runs once":                {ends{"a": answering(500), "b": answering(500)}, false, 1, 500, 0},
+		"fails everywhere":                {ends{"a": answering(500), "b": answering(500), "c": answering(500)}, true, 2, 500, 0},
+		"fails, and the next has no room": {ends{"a": answering(500), "b": overloaded}, true, 0, 500, 0},
+		"target's own deadline":           {ends{"a": answering(504), "b": answering(504)}, true, 1, 504, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := &gates{ends: tt.ends}
+				d, _ := entry(g)
+				answer, err := d.Do(t.Context(), &vanillabarrow.Request{
+					Service: "desk", Route: "r", MaxAttempts: 2, Idempotent: tt.idempotent, RetriesLeft: 5,
+					Objective: time.Now().Add(400 * time.Millisecond),
+				})
+				if tt.tries > 0 {
+					require.Len(t, g.tried, tt.tries)
+				}
+				if tt.verdict != 0 {
+					require.Equal(t, tt.verdict, vanillabarrow.AsRefusal(err).Verdict)
+					return
+				}
+				require.NoError(t, err)
+				require.Equal(t, tt.status, answer.Status)
+			})
+		})
+	}
+}
+
+// TestRetryBudgetEnds checks that only what reached targets is charged, and
+// that nothing is repeated once the budget of the service is used up.
+func TestRetryBudgetEnds(t *testing.T) {
+	g := &gates{ends: map[string]func(*vanillabarrow.Attempt) (*vanillabarrow.Answer, error){"a": losing, "b": losing}}
+	d, _ := entry(g)
+	for range 10 {
+		_, err := d.Do(t.Context(), &vanillabarrow.Request{Service: "desk", Route: "r", MaxAttempts: 2, Idempotent: true, RetriesLeft: 5})
+		require.Error(t, err)
+	}
+	// After three failures in a row a target is tried with single requests.
+	require.LessOrEqual(t, len(g.tried), 10+3)
+}
+
+// TestThrottle checks that a route that fails is shed at the entry, another one
+// is not, and that it recovers.
+func TestThrottle(t *testing.T) {
+	throttle := dispatch.NewThrottle()
+	admitted := func(route string) int {
+		n := 0
+		for range 1000 {
+			if throttle.Admit(&vanillabarrow.Request{Route: route}) == nil {
+				n++
+			}
+		}
+		return n
+	}
+	for range 20 {
+		throttle.Observe("fails", true)
+		throttle.Observe("works", false)
+	}
+	require.InDelta(t, 122, admitted("fails"), 60)
+	require.Equal(t, 1000, admitted("works"))
+	refusal := vanillabarrow.AsRefusal(func() error {
+		for {
+			if err := throttle.Admit(&vanillabarrow.Request{Route: "fails"}); err != nil {
+				return err
+			}
+		}
+	}())
+	require.Equal(t, vanillabarrow.VerdictNotRun, refusal.Verdict)
+	require.Positive(t, refusal.RetryAfter)
+	for range 100 {
+		throttle.Observe("fails", false)
+	}
+	require.Equal(t, 1000, admitted("fails"))
+	require.Empty(t, throttle.Shares())
+}
+
+// TestAreas checks when a data centre is set aside and when it is tried.
+func TestAreas(t *testing.T) {
+	tests := map[string]struct {
+		failed []string
+		heard  bool
+		open   bool
+	}{
+		"one target":              {[]string{"t1"}, false, true},
+		"one target, repeatedly":  {[]string{"t1", "t1", "t1"}, false, true},
+		"two targets":             {[]string{"t1", "t2"}, false, false},
+		"two targets, then heard": {[]string{"t1", "t2"}, true, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			areas := dispatch.NewAreas()
+			lost := areas.Lost("b")
+			for _, target := range tt.failed {
+				areas.Failed("b", target, now)
+			}
+			if tt.heard {
+				areas.Heard("b")
+			}
+			require.Equal(t, tt.open, areas.Open("b", now))
+			require.True(t, areas.Open("c", now))
+			if !tt.open {
+				require.NotNil(t, lost)
+				<-lost
+				require.Nil(t, areas.Lost("b"))
+				require.Equal(t, []string{"b"}, areas.Aside())
+				require.True(t, areas.Open("b", now.Add(2*time.Second)), "it is tried again")
+			}
+		})
+	}
+}
+
+// TestCutMovesRequests sends requests that may run more than once to a data
+// centre that is cut off while they wait.
+func TestCutMovesRequests(t *testing.T) {
+	areas := dispatch.NewAreas()
+	lost := areas.Lost("b")
+	now := time.Now()
+	require.False(t, areas.Failed("b", "t1", now))
+	require.True(t, areas.Failed("b", "t2", now))
+	select {
+	case <-lost:
+	default:
+		require.Fail(t, "requests on their way are not told")
+	}
+}
--- /dev/null
+++ b/internal/route/split_test.go
@@ -0,0 +1,47 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+)
+
+func TestSplits(t *testing.T) {
+	tests := map[string]struct {
+		shares []vanillabarrow.Share
+		want   map[string]int
+	}{
+		"none":        {nil, map[string]int{"own": 100}},
+		"even":        {[]vanillabarrow.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}, map[string]int{"a": 50, "b": 50}},
+		"nine to one": {[]vanillabarrow.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}, map[string]int{"a": 90, "b": 10}},
+		"all to one":  {[]vanillabarrow.Share{{Service: "a", Weight: 0}, {Service: "b", Weight: 3}}, map[string]int{"b": 100}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			splits := NewSplits()
+			r := &vanillabarrow.Route{Name: "r", Service: "own", Split: tt.shares}
+			got := map[string]int{}
+			for range 100 {
+				got[splits.Service(r)]++
+			}
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
+
+// TestSplitFollowsItsWeights changes the weights of a route, and drops it.
+func TestSplitFollowsItsWeights(t *testing.T) {
+	splits := NewSplits()
+	r := &vanillabarrow.Route{Name: "r", Split: []vanillabarrow.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 0}}}
+	require.Equal(t, "a", splits.Service(r))
+	r = &vanillabarrow.Route{Name: "r", Split: []vanillabarrow.Share{{Service: "a", Weight: 0}, {Service: "b", Weight: 1}}}
+	for range 10 {
+		require.Equal(t, "b", splits.Service(r))
+	}
+	splits.Keep(map[string][]*vanillabarrow.Route{"": {r}})
+	require.Len(t, splits.routes, 1)
+	splits.Keep(nil)
+	require.Empty(t, splits.routes)
+}
