--- a/internal/target/exchange_test.go
+++ b/internal/target/exchange_test.go
@@ -130,35 +130,35 @@
 	}
 	ok := end{body: "ok"}
 	tests := map[string]struct {
-		target rawTarget
+		target *rawTarget
 		ends   [2]end
 		dialed int64
 	}{
-		"sound":                     {rawTarget{answers: []string{own}}, [2]end{ok, ok}, 1},
-		"answer of another request": {rawTarget{answers: []string{stray + own, own}}, [2]end{ok, ok}, 1},
-		"a second answer follows":   {rawTarget{answers: []string{own + stray}}, [2]end{ok, ok}, 2},
-		"late answer of another":    {rawTarget{answers: []string{own, stray + own}}, [2]end{ok, ok}, 1},
-		"announces its close":       {rawTarget{answers: []string{strings.Replace(own, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)}}, [2]end{ok, ok}, 2},
-		"idle for no time":          {rawTarget{answers: []string{strings.Replace(own, "\r\n\r\n", "\r\nKeep-Alive: timeout=1\r\n\r\n", 1)}}, [2]end{ok, ok}, 2},
-		"no length":                 {rawTarget{answers: []string{"HTTP/1.1 200 OK\r\nX-Id: ID\r\n\r\nok"}}, [2]end{ok, ok}, 2},
-		"continues first":           {rawTarget{answers: []string{"HTTP/1.1 100 Continue\r\n\r\n" + own}}, [2]end{ok, ok}, 1},
-		"only answers of others": {rawTarget{answers: []string{strings.Repeat(stray, 5)}}, [2]end{
+		"sound":                     {&rawTarget{answers: []string{own}}, [2]end{ok, ok}, 1},
+		"answer of another request": {&rawTarget{answers: []string{stray + own, own}}, [2]end{ok, ok}, 1},
+		"a second answer follows":   {&rawTarget{answers: []string{own + stray}}, [2]end{ok, ok}, 2},
+		"late answer of another":    {&rawTarget{answers: []string{own, stray + own}}, [2]end{ok, ok}, 1},
+		"announces its close":       {&rawTarget{answers: []string{strings.Replace(own, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)}}, [2]end{ok, ok}, 2},
+		"idle for no time":          {&rawTarget{answers: []string{strings.Replace(own, "\r\n\r\n", "\r\nKeep-Alive: timeout=1\r\n\r\n", 1)}}, [2]end{ok, ok}, 2},
+		"no length":                 {&rawTarget{answers: []string{"HTTP/1.1 200 OK\r\nX-Id: ID\r\n\r\nok"}}, [2]end{ok, ok}, 2},
+		"continues first":           {&rawTarget{answers: []string{"HTTP/1.1 100 Continue\r\n\r\n" + own}}, [2]end{ok, ok}, 1},
+		"only answers of others": {&rawTarget{answers: []string{strings.Repeat(stray, 5)}}, [2]end{
 			{verdict: vanillabarrow.VerdictMayHaveRun, reason: vanillabarrow.ReasonTargetFailed},
 			{verdict: vanillabarrow.VerdictMayHaveRun, reason: vanillabarrow.ReasonTargetFailed},
 		}, 2},
-		"no answer at all": {rawTarget{answers: []string{"garbage\r\n\r\n", own}}, [2]end{
+		"no answer at all": {&rawTarget{answers: []string{"garbage\r\n\r\n", own}}, [2]end{
 			{verdict: vanillabarrow.VerdictMayHaveRun, reason: vanillabarrow.ReasonTargetFailed}, ok,
 		}, 2},
-		"sheds": {rawTarget{answers: []string{strings.Replace(own, "200 OK", "503 Busy", 1), own}}, [2]end{
+		"sheds": {&rawTarget{answers: []string{strings.Replace(own, "200 OK", "503 Busy", 1), own}}, [2]end{
 			{verdict: vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonShed}, ok,
 		}, 1},
-		"another target": {rawTarget{answers: []string{strings.Replace(own, "200 OK", "421 Misdirected", 1), own}}, [2]end{
+		"another target": {&rawTarget{answers: []string{strings.Replace(own, "200 OK", "421 Misdirected", 1), own}}, [2]end{
 			{verdict: vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonMisdirected}, ok,
 		}, 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			e := startRaw(t, &tt.target)
+			e := startRaw(t, tt.target)
 			for i, id := range []string{"one", "two"} {
 				answer, err := e.Execute(t.Context(), identified(id, []byte("body")))
 				want := tt.ends[i]
