Do not end at SIGHUP while the node stops

The watcher of the settings unregistered SIGHUP when the stop began, and the next change of the settings ended the process by the signal's default. Change: the channel for SIGHUP is registered before anything else and never unregistered. Test: TestHangupWhileStopping, which is killed by the signal without the change.

--- a/pkg/cmd/node/run/run.go
+++ b/pkg/cmd/node/run/run.go
@@ -129,6 +129,7 @@
 }
 
 func run(ctx context.Context, opts *Options) error {
+	hangups := notifyHangups()
 	s, err := load(opts)
 	if err != nil {
 		return err
@@ -154,7 +155,7 @@
 		node.Close(listeners)
 		return err
 	}
-	w := newWatcher(opts, n, logger)
+	w := newWatcher(opts, n, logger, hangups)
 	go w.run(ctx)
 	<-ctx.Done()
 	logger.Info("stopping", "cause", context.Cause(ctx))
--- a/pkg/cmd/node/run/watch.go
+++ b/pkg/cmd/node/run/watch.go
@@ -16,6 +16,13 @@
 // change without a signal.
 const watchInterval = time.Second
 
+// notifyHangups returns a channel that gets SIGHUP from now on.
+func notifyHangups() chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // reloader takes over changed settings.
 type reloader interface {
 	Reload(s settings.Settings)
@@ -27,25 +34,25 @@
 	node   reloader
 	logger *slog.Logger
 	last   []byte
+	// hangups gets SIGHUP. It is never unregistered: without a receiver the
+	// signal would end a process that is finishing its work.
+	hangups chan os.Signal
 }
 
-func newWatcher(opts *Options, node reloader, logger *slog.Logger) *watcher {
+func newWatcher(opts *Options, node reloader, logger *slog.Logger, hangups chan os.Signal) *watcher {
 	last, err := opts.ReadFile(opts.SettingsFile)
 	if err != nil {
 		logger.Warn("settings file not read", "file", opts.SettingsFile, "error", err)
 	}
-	return &watcher{opts: opts, node: node, logger: logger, last: last}
+	return &watcher{opts: opts, node: node, logger: logger, last: last, hangups: hangups}
 }
 
 func (w *watcher) run(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-signals:
+		case <-w.hangups:
 			w.look()
 		case <-ticker.C:
 			w.look()
