Notice callers that leave while the body of their request is larger than 64 KB

The library watches a connection for its close only once the body has been read, and the rest of a body above 64 KB was read when a gate had room; an upload whose caller had left was passed on as far as it was in. Change: bodies up to 1 MB are held whole within 32 MB a node. Test: TestCallerLeaves, whose case "large body" fails without the change.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -18,8 +18,16 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/route"
 )
 
-// holdBytes is the largest body that can be sent again to another target.
-const holdBytes = 64 << 10
+const (
+	// holdBytes is the largest part of a body that is held in any case.
+	holdBytes = 64 << 10
+	// maxHoldBytes is the largest body that is held whole. A body that is held
+	// can be sent again to another target, and a caller that leaves is noticed:
+	// the connection is watched only once the body has been read.
+	maxHoldBytes = 1 << 20
+	// holdBudget bounds the bodies above holdBytes that a node holds.
+	holdBudget = 32 << 20
+)
 
 // Config holds what a server is made of.
 type Config struct {
@@ -37,6 +45,8 @@
 type Server struct {
 	Config
 	inFlight atomic.Int64
+	// holding is the number of bytes taken from the hold budget.
+	holding  atomic.Int64
 	draining atomic.Bool
 	closed   atomic.Bool
 }
@@ -78,7 +88,9 @@
 		s.refuse(w, refusal)
 		return
 	}
-	request, ctx, cancel, err := s.read(r)
+	held := s.reserve(r.ContentLength)
+	defer s.holding.Add(-held)
+	request, ctx, cancel, err := s.read(r, max(held, holdBytes))
 	defer cancel()
 	if err != nil {
 		s.refuse(w, vanillabarrow.AsRefusal(err))
@@ -92,13 +104,29 @@
 	s.write(w, answer)
 }
 
+// reserve takes the size of a body from the hold budget, 0 when it needs none
+// or there is too little left. The length is -1 for a body sent in chunks.
+func (s *Server) reserve(length int64) int64 {
+	if length < 0 {
+		length = maxHoldBytes
+	}
+	if length <= holdBytes || length > maxHoldBytes {
+		return 0
+	}
+	if s.holding.Add(length) > holdBudget {
+		s.holding.Add(-length)
+		return 0
+	}
+	return length
+}
+
 // badRequest is a refusal for a request that can't be right anywhere.
 func badRequest(reason vanillabarrow.Reason, detail string) error {
 	return vanillabarrow.NotRun(reason, detail)
 }
 
 // read builds the request. The context carries the caller's budget.
-func (s *Server) read(r *http.Request) (*vanillabarrow.Request, context.Context, context.CancelFunc, error) {
+func (s *Server) read(r *http.Request, hold int64) (*vanillabarrow.Request, context.Context, context.CancelFunc, error) {
 	arrived := time.Now()
 	ctx, cancel := context.WithCancel(r.Context())
 	if r.Method == http.MethodConnect || !strings.HasPrefix(r.URL.Path, "/") {
@@ -120,7 +148,7 @@
 	if err != nil {
 		return nil, ctx, cancel, badRequest(vanillabarrow.ReasonBadRequest, err.Error())
 	}
-	if err := s.readBody(r, request, snapshot.Limits); err != nil {
+	if err := s.readBody(r, request, snapshot.Limits, hold); err != nil {
 		return nil, ctx, cancel, err
 	}
 	if budget > 0 {
@@ -160,7 +188,7 @@
 	}
 }
 
-func (s *Server) readBody(r *http.Request, request *vanillabarrow.Request, limits vanillabarrow.RequestLimits) error {
+func (s *Server) readBody(r *http.Request, request *vanillabarrow.Request, limits vanillabarrow.RequestLimits, hold int64) error {
 	maxBytes := s.MaxBodyBytes
 	if limits.MaxBodyBytes > 0 {
 		maxBytes = min(maxBytes, limits.MaxBodyBytes)
@@ -168,7 +196,7 @@
 	if r.ContentLength > maxBytes {
 		return badRequest(vanillabarrow.ReasonTooLarge, message.ErrTooLarge.Error())
 	}
-	start, stream, err := message.Split(r.Body, holdBytes)
+	start, stream, err := message.Split(r.Body, int(hold))
 	if err != nil {
 		return badRequest(vanillabarrow.ReasonBodyIncomplete, err.Error())
 	}
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -224,3 +226,69 @@
 		})
 	}
 }
+
+// waiting keeps requests until their context ends.
+type waiting struct {
+	begun chan struct{}
+	ended chan error
+}
+
+func (w *waiting) Do(ctx context.Context, _ *vanillabarrow.Request) (*vanillabarrow.Answer, error) {
+	close(w.begun)
+	<-ctx.Done()
+	w.ended <- ctx.Err()
+	return nil, vanillabarrow.NotRun(vanillabarrow.ReasonCanceled, "")
+}
+
+// TestCallerLeaves closes a caller's connection while its request waits. The
+// request is canceled whatever the size of its body.
+func TestCallerLeaves(t *testing.T) {
+	tests := map[string]struct {
+		body int
+	}{
+		"no body":    {0},
+		"small body": {100},
+		"large body": {3 * holdBytes},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := &waiting{begun: make(chan struct{}), ended: make(chan error, 1)}
+			server, url := newServer(t, &scripted{}, snapshot())
+			server.Dispatcher = d
+			conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			require.NoError(t, err)
+			_, err = fmt.Fprintf(conn, "POST /returns HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", tt.body, strings.Repeat("x", tt.body))
+			require.NoError(t, err)
+			<-d.begun
+			require.NoError(t, conn.Close())
+			select {
+			case <-d.ended:
+			case <-time.After(10 * time.Second):
+				require.Fail(t, "the request goes on without its caller")
+			}
+		})
+	}
+}
+
+// TestHoldBudget checks that the bodies held at once are bounded.
+func TestHoldBudget(t *testing.T) {
+	tests := map[string]struct {
+		length int64
+		want   int64
+	}{
+		"small":     {100, 0},
+		"large":     {2 * holdBytes, 2 * holdBytes},
+		"in chunks": {-1, maxHoldBytes},
+		"too large": {maxHoldBytes + 1, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New(Config{})
+			require.Equal(t, tt.want, s.reserve(tt.length))
+			require.Equal(t, tt.want, s.holding.Load())
+			s.holding.Store(holdBudget)
+			require.Zero(t, s.reserve(tt.length))
+			require.Equal(t, int64(holdBudget), s.holding.Load())
+		})
+	}
+}
