Keep a target that loses answers at its full rate, throttle less

While a target lost answers or shed, each of them put its gate in doubt whether the target had started anew, and it gave it the warm-up rate, a quarter of what came, between checks that were made every 100 ms and took a slot each. And the throttle let a tenth of index-read through, though a third of it needs no call further down. Change: a lost answer asks for a health check only, every 500 ms at most; a refused connection or a new target means the warm-up rate. The throttle lets 0.4 of a route through at least. Test: TestLostAnswersKeepTheRate fails without the change.

--- a/internal/dispatch/throttle.go
+++ b/internal/dispatch/throttle.go
@@ -14,9 +14,9 @@
 	// they let about one request in four fail.
 	throttleCut  = 0.1
 	throttleGain = 0.03
-	// throttleFloor is the smallest share let through, so that recovery is
-	// noticed.
-	throttleFloor = 0.1
+	// throttleFloor is the smallest share let through: part of the requests on a
+	// route that fails need nothing further down, and recovery is noticed.
+	throttleFloor = 0.4
 	// throttleRetryAfter is the delay advised to callers of a throttled route.
 	throttleRetryAfter = 250 * time.Millisecond
 	// throttleScale is the resolution of the random choice.
--- a/internal/gate/check.go
+++ b/internal/gate/check.go
@@ -13,6 +13,9 @@
 	// checkInterval is how often the gate looks whether its target needs a
 	// health check.
 	checkInterval = 50 * time.Millisecond
+	// checkPause is the least time between two checks of a target that is well.
+	// Checks take a slot, and answers get lost at targets that are well.
+	checkPause = 500 * time.Millisecond
 	// checkBase and checkLimit bound the delay after a failed check.
 	checkBase  = 100 * time.Millisecond
 	checkLimit = time.Second
@@ -50,7 +53,7 @@
 		p.notUntil = time.Now().Add(checkBase/2 + retry.Backoff(checkBase, checkLimit, p.failures))
 	} else {
 		p.failures = 0
-		p.notUntil = time.Now().Add(checkBase)
+		p.notUntil = time.Now().Add(checkPause)
 	}
 	if err != nil {
 		p.logger.Debug("health check failed", "target", p.gate.targetName(), "failures", p.failures, "error", err)
--- a/internal/limit/ordered.go
+++ b/internal/limit/ordered.go
@@ -59,11 +59,15 @@
 	// target names the target that coldUntil is about.
 	target string
 	out    bool
-	// doubtful is set when the target may have started anew, and down when it
-	// refuses connections.
-	doubtful bool
-	down     bool
-	cuts     uint64
+	// unknown is set when the target may be cold, because it may have started
+	// anew. It is given its warm-up rate until its health is learned.
+	unknown bool
+	// suspect is set when an answer was lost, which calls for a health check
+	// but says little: targets lose answers that have not started anew.
+	suspect bool
+	// down is set while the target refuses connections.
+	down bool
+	cuts uint64
 	// wake runs when the pace lets the next request pass.
 	wake *time.Timer
 }
@@ -86,7 +90,7 @@
 		work:     map[string]time.Duration{},
 		meanWork: unknownWork,
 		pace:     rate.NewLimiter(rate.Inf, 1),
-		doubtful: true,
+		unknown:  true,
 	}
 }
 
@@ -307,11 +311,11 @@
 		o.cuts++
 	case vanillabarrow.SignalRefused:
 		failed = 1
-		o.doubtful = true
+		o.suspect = true
 		o.cuts++
 	case vanillabarrow.SignalDown:
 		failed = 1
-		o.doubtful = true
+		o.unknown = true
 		o.cuts++
 		o.fall()
 	case vanillabarrow.SignalNeutral:
@@ -367,7 +371,7 @@
 
 // paced reports whether the warm-up rate applies.
 func (o *Ordered) paced(now time.Time) bool {
-	return o.warmRate > 0 && (o.doubtful || now.Before(o.coldUntil))
+	return o.warmRate > 0 && (o.unknown || now.Before(o.coldUntil))
 }
 
 // take takes one request from the pace of a cold target.
@@ -408,7 +412,7 @@
 	}
 	if target.Name != o.target || o.out && !target.Out {
 		// Another target, or one that operators gave back, may be cold.
-		o.target, o.doubtful = target.Name, true
+		o.target, o.unknown = target.Name, true
 	}
 	o.out = target.Out
 	if target.ColdUntil.After(o.coldUntil) {
@@ -421,7 +425,7 @@
 func (o *Ordered) NeedsCheck() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.doubtful || o.down
+	return o.unknown || o.suspect || o.down
 }
 
 // Learn implements vanillabarrow.Limiter.
@@ -429,8 +433,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.down = false
+	o.suspect = false
 	if health.OK {
-		o.doubtful = false
+		o.unknown = false
 		o.coldUntil = now.Add(health.Warming)
 	}
 	o.grant(now)
--- a/internal/limit/ordered_test.go
+++ b/internal/limit/ordered_test.go
@@ -246,6 +246,39 @@
 	}
 }
 
+// TestLostAnswersKeepTheRate checks that a target that loses answers, and is
+// not cold, is not held to its warm-up rate.
+func TestLostAnswersKeepTheRate(t *testing.T) {
+	service := &vanillabarrow.Service{WarmUp: 3 * time.Second, WarmUpRate: 24}
+	tests := map[string]struct {
+		signal  vanillabarrow.TargetSignal
+		limited bool
+	}{
+		"answers lost":        {vanillabarrow.SignalRefused, false},
+		"connections refused": {vanillabarrow.SignalDown, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := NewOrdered(1)
+				o.Configure(&vanillabarrow.Target{Name: "t", Slots: 1000}, service, time.Now())
+				o.Learn(vanillabarrow.Health{OK: true}, time.Now())
+				served := 0
+				for range 200 {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+					if o.Acquire(ctx, request(0, 0, time.Second)) == nil {
+						served++
+						o.Release(request(0, 0, time.Second), tt.signal, time.Millisecond)
+					}
+					cancel()
+				}
+				require.Equal(t, tt.limited, served < 200)
+				require.True(t, o.NeedsCheck())
+			})
+		})
+	}
+}
+
 // TestDoubt checks what makes the limiter ask for the target's health, and that
 // a target that is down gets nothing until it answers.
 func TestDoubt(t *testing.T) {
