Take only silence for a cut, and nothing from targets of the own data centre

Change: a refused or reset connection is told from silence (reason unreachable); only silence sets a data centre aside, and only requests in other data centres are taken from their targets. Tests: TestOthersFailWhileOneWaits, whose refused cases fail without the change, and TestSilence.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -69,27 +69,29 @@
 		refusal := vanillabarrow.AsRefusal(err)
 		healthy = !faulty(refusal.Reason)
 		d.Tokens.Put(target.Name, refusal.Token)
-		if refusal.Reason == vanillabarrow.ReasonConnectionFailed {
-			d.unreachable(f, target, vm.DataCentre)
-		}
+		d.notReached(f, target, vm.DataCentre, refusal.Reason)
 	}
-	if err == nil || vanillabarrow.AsRefusal(err).Reason != vanillabarrow.ReasonConnectionFailed {
+	if err == nil || vanillabarrow.AsRefusal(err).Reason != vanillabarrow.ReasonUnreachable {
 		d.Areas.Heard(vm.DataCentre)
 	}
 	d.Loads.end(target.Name, healthy, time.Now())
 	return answer, err
 }
 
-// unreachable notes that a node could not be reached. A route that bounds the
-// targets it may reach has its next gate at hand, so the node is only set aside
-// until a trial reaches it.
-func (d *Dispatcher) unreachable(f *flight, target *vanillabarrow.Target, dataCentre string) {
+// notReached notes that the node of a target could not be reached. A route that
+// bounds the targets it may reach has its next gate at hand, so the target is
+// only set aside until a trial reaches it. Silence speaks against the way to the
+// data centre; a refused connection only against the node.
+func (d *Dispatcher) notReached(f *flight, target *vanillabarrow.Target, dataCentre string, reason vanillabarrow.Reason) {
+	if reason != vanillabarrow.ReasonConnectionFailed && reason != vanillabarrow.ReasonUnreachable {
+		return
+	}
 	if f.request.MaxAttempts == 0 {
 		d.Members.Suspect(target.VM)
 		return
 	}
 	d.Loads.unreachable(target.Name)
-	if d.Areas.Failed(dataCentre, target.Name, time.Now()) {
+	if reason == vanillabarrow.ReasonUnreachable && d.Areas.Failed(dataCentre, target.Name, time.Now()) {
 		d.Scope.Counter("areasSetAside").Inc(1)
 	}
 }
@@ -99,7 +101,7 @@
 	switch reason {
 	case vanillabarrow.ReasonTargetDown, vanillabarrow.ReasonTargetFailed,
 		vanillabarrow.ReasonConnectionFailed, vanillabarrow.ReasonAnswerLost,
-		vanillabarrow.ReasonMisdirected:
+		vanillabarrow.ReasonUnreachable, vanillabarrow.ReasonMisdirected:
 		return true
 	default:
 		return false
@@ -116,7 +118,7 @@
 	timer := time.NewTimer(d.AskAfter)
 	defer timer.Stop()
 	var lost <-chan struct{}
-	if a.Request.MaxAttempts > 0 && a.Request.Idempotent {
+	if a.Request.MaxAttempts > 0 && a.Request.Idempotent && dataCentre != d.DataCentre {
 		lost = d.Areas.Lost(dataCentre)
 	}
 	for {
@@ -175,7 +177,8 @@
 // unsettled reports whether the gate may know more than the reason tells.
 func unsettled(reason vanillabarrow.Reason) bool {
 	switch reason {
-	case vanillabarrow.ReasonConnectionFailed, vanillabarrow.ReasonAnswerLost, vanillabarrow.ReasonDuplicate:
+	case vanillabarrow.ReasonConnectionFailed, vanillabarrow.ReasonUnreachable,
+		vanillabarrow.ReasonAnswerLost, vanillabarrow.ReasonDuplicate:
 		return true
 	default:
 		return false
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -148,13 +148,24 @@
 	if errors.Is(err, message.ErrTooLarge) {
 		return vanillabarrow.MayHaveRun(vanillabarrow.ReasonBodyIncomplete, err.Error())
 	}
+	reason := vanillabarrow.ReasonConnectionFailed
+	if ctx.Err() == nil && silent(err) {
+		reason = vanillabarrow.ReasonUnreachable
+	}
 	if !exposed {
-		return vanillabarrow.NotRun(vanillabarrow.ReasonConnectionFailed, err.Error())
+		return vanillabarrow.NotRun(reason, err.Error())
 	}
 	if ctx.Err() != nil {
-		return vanillabarrow.MayHaveRun(vanillabarrow.ReasonCanceled, err.Error())
+		reason = vanillabarrow.ReasonCanceled
 	}
-	return vanillabarrow.MayHaveRun(vanillabarrow.ReasonConnectionFailed, err.Error())
+	return vanillabarrow.MayHaveRun(reason, err.Error())
+}
+
+// silent reports whether the other side did not react at all. A refused or
+// reset connection is a reaction.
+func silent(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.As(err, &timeout) && timeout.Timeout()
 }
 
 func (f *Forwarder) answer(ctx context.Context, a *vanillabarrow.Attempt, response *http.Response) (*vanillabarrow.Answer, error) {
--- a/verdict.go
+++ b/verdict.go
@@ -73,11 +73,14 @@
 	ReasonKeyInUse         Reason = "keyInUse"
 	ReasonTableFull        Reason = "tableFull"
 	ReasonConnectionFailed Reason = "connectionFailed"
-	ReasonAnswerLost       Reason = "answerLost"
-	ReasonCanceled         Reason = "canceled"
-	ReasonTooDeep          Reason = "tooDeep"
-	ReasonStaleConfig      Reason = "staleConfig"
-	ReasonBodyIncomplete   Reason = "bodyIncomplete"
+	// ReasonUnreachable is a node that stays silent: a connection that is not
+	// set up in time, or bytes that are not acknowledged.
+	ReasonUnreachable    Reason = "unreachable"
+	ReasonAnswerLost     Reason = "answerLost"
+	ReasonCanceled       Reason = "canceled"
+	ReasonTooDeep        Reason = "tooDeep"
+	ReasonStaleConfig    Reason = "staleConfig"
+	ReasonBodyIncomplete Reason = "bodyIncomplete"
 )
 
 // Refusal is the error for every request that did not finish.
