--- a/internal/limit/ordered.go
+++ b/internal/limit/ordered.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -72,15 +71,6 @@
 	wake *time.Timer
 }
 
-// claim is a request that waits.
-type claim struct {
-	vanillabarrow.Admission
-	work time.Duration
-	// decided gets nil for a slot or the refusal.
-	decided chan error
-	expiry  *time.Timer
-}
-
 // NewOrdered returns a limiter for a target of which nothing is known. Until
 // its health is learned it counts as cold.
 func NewOrdered(slots int) *Ordered {
@@ -141,79 +131,6 @@
 	return c, nil
 }
 
-// displaces reports whether a claim at a place in the queue would make one of
-// its own priority late that waits already. Only lower ones give way.
-func (o *Ordered) displaces(c *claim, at int, now time.Time) bool {
-	for i := at; i < len(o.waiters); i++ {
-		w := o.waiters[i]
-		if w.Priority > c.Priority || w.late(now) {
-			continue
-		}
-		if now.Add(o.waitAt(i+1, now) + w.work).After(w.limit()) {
-			return true
-		}
-	}
-	return false
-}
-
-// limit is when a request has to be done to be worth its place: its objective,
-// or its deadline when that alone counts.
-func (c *claim) limit() time.Time {
-	if c.Objective.IsZero() || c.Late {
-		return c.Deadline
-	}
-	return c.Objective
-}
-
-// due is the time by which claims of equal priority are ordered.
-func (c *claim) due() time.Time {
-	if c.Objective.IsZero() {
-		return c.Deadline
-	}
-	return c.Objective
-}
-
-// order compares two claims: the one that goes first is less.
-func (o *Ordered) order(a, b *claim, now time.Time) int {
-	if d := cmp.Compare(a.Priority, b.Priority); d != 0 {
-		return d
-	}
-	if late := a.late(now); late != b.late(now) {
-		if late {
-			return 1
-		}
-		return -1
-	}
-	return a.due().Compare(b.due())
-}
-
-// place returns where a claim goes in the queue: behind its equals.
-func (o *Ordered) place(c *claim, now time.Time) int {
-	at, _ := slices.BinarySearchFunc(o.waiters, c, func(a, b *claim) int {
-		if d := o.order(a, b, now); d != 0 {
-			return d
-		}
-		return -1
-	})
-	return at
-}
-
-// lateWaiters counts the claims for which the deadline alone counts.
-func (o *Ordered) lateWaiters() int {
-	n := 0
-	for _, c := range o.waiters {
-		if c.Late {
-			n++
-		}
-	}
-	return n
-}
-
-// late reports whether the request can't meet its objective any more.
-func (c *claim) late(now time.Time) bool {
-	return c.Late || !c.Objective.IsZero() && now.Add(c.work).After(c.Objective)
-}
-
 // workOf estimates the work time of a class.
 func (o *Ordered) workOf(class string, now time.Time) time.Duration {
 	work, ok := o.work[class]
@@ -239,36 +156,6 @@
 	return wait
 }
 
-// dropLate refuses the claims from a place on that no longer can be done in
-// time, because something more urgent went before them.
-func (o *Ordered) dropLate(from int, now time.Time) {
-	for i := len(o.waiters) - 1; i >= max(from, minWaiters); i-- {
-		c := o.waiters[i]
-		wait := o.waitAt(i, now)
-		if !now.Add(wait + c.work).After(c.limit()) {
-			continue
-		}
-		o.waiters = slices.Delete(o.waiters, i, i+1)
-		c.end(refuse(vanillabarrow.ReasonOverloaded, "more urgent requests took the place", wait))
-	}
-}
-
-// end tells the waiting request its outcome.
-func (c *claim) end(err error) {
-	c.expiry.Stop()
-	c.decided <- err
-}
-
-// expire refuses a claim that can't be done any more.
-func (o *Ordered) expire(c *claim) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if i := slices.Index(o.waiters, c); i >= 0 {
-		o.waiters = slices.Delete(o.waiters, i, i+1)
-		c.end(refuse(vanillabarrow.ReasonOverloaded, "no slot before the deadline", 0))
-	}
-}
-
 // leave takes a claim out whose sender gave up. A slot granted meanwhile is
 // passed on.
 func (o *Ordered) leave(c *claim) error {
@@ -357,48 +244,6 @@
 	o.schedule(now)
 }
 
-// first returns the place of the claim that goes next. Claims that became late
-// while they waited stand before others of their priority that are not.
-func (o *Ordered) first(now time.Time) int {
-	best := 0
-	for i := range o.waiters {
-		if o.order(o.waiters[i], o.waiters[best], now) < 0 && i != best {
-			best = i
-		}
-	}
-	return best
-}
-
-// paced reports whether the warm-up rate applies.
-func (o *Ordered) paced(now time.Time) bool {
-	return o.warmRate > 0 && (o.unknown || now.Before(o.coldUntil))
-}
-
-// take takes one request from the pace of a cold target.
-func (o *Ordered) take(now time.Time) bool {
-	return !o.paced(now) || o.pace.AllowN(now, 1)
-}
-
-// schedule wakes the queue when the pace lets the next request pass.
-func (o *Ordered) schedule(now time.Time) {
-	if len(o.waiters) == 0 || o.inFlight >= o.slots || !o.paced(now) {
-		return
-	}
-	r := o.pace.ReserveN(now, 1)
-	delay := r.DelayFrom(now)
-	r.CancelAt(now)
-	if o.wake != nil {
-		o.wake.Stop()
-	}
-	o.wake = time.AfterFunc(delay+time.Millisecond, o.awake)
-}
-
-func (o *Ordered) awake() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.grant(time.Now())
-}
-
 // Configure implements vanillabarrow.Limiter.
 func (o *Ordered) Configure(target *vanillabarrow.Target, service *vanillabarrow.Service, now time.Time) {
 	o.mu.Lock()
