Log each refusal with its request's id, in bounded number and without blocking

Cause: refusals were logged at debug without an id, and a slow standard output held up whoever logged. Change: internal/logging queues lines for a writer of its own, bounds the lines of each event by its reason, and tells what it left out. The caller's server logs a refusal with id, route, verdict, reason and configuration version. Tests: a blocked output, a burst of two causes, an output that is gone. Left: decisions of dispatcher and gate, the metric of lines left out, and `trace`.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -78,14 +78,14 @@
 		w.Header().Set("Connection", "close")
 	}
 	if s.closed.Load() {
-		s.refuse(w, vanillabarrow.NotRun(vanillabarrow.ReasonDraining, "the node is about to end"))
+		s.refuse(w, nil, vanillabarrow.NotRun(vanillabarrow.ReasonDraining, "the node is about to end"))
 		return
 	}
 	defer s.inFlight.Add(-1)
 	if s.inFlight.Add(1) > int64(s.MaxInFlight) {
 		refusal := vanillabarrow.NotRun(vanillabarrow.ReasonOverloaded, "too many requests at this node")
 		refusal.RetryAfter = time.Second
-		s.refuse(w, refusal)
+		s.refuse(w, nil, refusal)
 		return
 	}
 	held := s.reserve(r.ContentLength)
@@ -93,12 +93,12 @@
 	request, ctx, cancel, err := s.read(r, max(held, holdBytes))
 	defer cancel()
 	if err != nil {
-		s.refuse(w, vanillabarrow.AsRefusal(err))
+		s.refuse(w, request, vanillabarrow.AsRefusal(err))
 		return
 	}
 	answer, err := s.Dispatcher.Do(ctx, request)
 	if err != nil {
-		s.refuse(w, vanillabarrow.AsRefusal(err))
+		s.refuse(w, request, vanillabarrow.AsRefusal(err))
 		return
 	}
 	s.write(w, answer)
@@ -209,8 +209,9 @@
 	return nil
 }
 
-func (s *Server) refuse(w http.ResponseWriter, r *vanillabarrow.Refusal) {
-	s.Logger.Debug("request refused", "verdict", r.Verdict, "reason", r.Reason, "detail", r.Detail)
+// refuse answers with a refusal. The request is nil when it could not be read.
+func (s *Server) refuse(w http.ResponseWriter, request *vanillabarrow.Request, r *vanillabarrow.Refusal) {
+	s.logRefusal(request, r)
 	status, body := s.Protocol.Refuse(vanillabarrow.Header(w.Header()), r)
 	w.WriteHeader(status)
 	if _, err := w.Write(body); err != nil {
@@ -218,6 +219,19 @@
 	}
 }
 
+func (s *Server) logRefusal(request *vanillabarrow.Request, r *vanillabarrow.Refusal) {
+	id, routeName := "", ""
+	if request != nil {
+		id, routeName = request.ID, request.Route
+	}
+	version := vanillabarrow.Version(0)
+	if snapshot := s.Configuration.Snapshot(); snapshot != nil {
+		version = snapshot.Version
+	}
+	s.Logger.Info("request refused", "id", id, "route", routeName, "verdict", r.Verdict, "reason", r.Reason,
+		"detail", r.Detail, "retryAfter", r.RetryAfter, "retries", r.Retries, "version", version)
+}
+
 // write sends the answer. One that breaks off breaks the connection, so that
 // the caller never takes a part for the whole.
 func (s *Server) write(w http.ResponseWriter, a *vanillabarrow.Answer) {
--- a/pkg/cmd/node/run/run.go
+++ b/pkg/cmd/node/run/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/vanillabarrow/vanillabarrow/internal/logging"
 	"github.com/vanillabarrow/vanillabarrow/internal/node"
 	"github.com/vanillabarrow/vanillabarrow/internal/settings"
 	"github.com/vanillabarrow/vanillabarrow/pkg/cmdutil"
@@ -120,12 +121,12 @@
 	return s, nil
 }
 
-// NewLogger returns the logger of a node: one line of key=value pairs an event.
-func NewLogger(w io.Writer, level string) *slog.Logger {
+// newLog returns the log of a node.
+func newLog(w io.Writer, level string) *logging.Log {
 	var l slog.Level
 	// The level was checked with the settings.
 	_ = l.UnmarshalText([]byte(level))
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l}))
+	return logging.New(w, l)
 }
 
 func run(ctx context.Context, opts *Options) error {
@@ -141,7 +142,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	logger := NewLogger(opts.IO.Out, s.Log.Level).With("vm", s.Node.VM)
+	log := newLog(opts.IO.Out, s.Log.Level)
+	defer log.Close()
+	logger := log.Logger().With("vm", s.Node.VM)
 	listeners, err := node.Listen(s)
 	if err != nil {
 		return err
@@ -159,5 +162,7 @@
 	go w.run(ctx)
 	<-ctx.Done()
 	logger.Info("stopping", "cause", context.Cause(ctx))
-	return n.Stop(context.WithoutCancel(ctx))
+	err = n.Stop(context.WithoutCancel(ctx))
+	logger.Info("stopped", "error", err, "linesLeftOut", log.LeftOut())
+	return err
 }
