Check the new fields of routes in the operators' rules

A split refers to services that exist and has a weight; timeout, objective, attempts and priority have bounds. Each fault names file, line and field.

--- a/internal/inventory/build.go
+++ b/internal/inventory/build.go
@@ -198,7 +198,8 @@
 	for i := range p.doc.Routes {
 		route := &p.doc.Routes[i]
 		at := place{p, "routes", i}
-		refer(b, at, "service", "service", b.snapshot.Services, route.Service)
+		b.checkServices(at, route)
+		b.checkRules(at, route)
 		b.checkMethods(at, "methods", route.Methods)
 		if !strings.HasPrefix(route.PathPrefix, "/") {
 			b.fail(at, "pathPrefix", "%q does not start with a slash", route.PathPrefix)
@@ -218,6 +219,45 @@
 	}
 }
 
+// checkServices checks where a route leads: to one service, or to several by
+// weight.
+func (b *builder) checkServices(at place, route *vanillabarrow.Route) {
+	if len(route.Split) == 0 {
+		refer(b, at, "service", "service", b.snapshot.Services, route.Service)
+		return
+	}
+	if route.Service != "" {
+		b.fail(at, "service", "is %q beside a split, want one of them", route.Service)
+	}
+	total := 0.0
+	for _, share := range route.Split {
+		refer(b, at, "split", "service", b.snapshot.Services, share.Service)
+		if share.Weight < 0 {
+			b.fail(at, "split", "gives %q the weight %g, must not be below zero", share.Service, share.Weight)
+		}
+		total += share.Weight
+	}
+	if total <= 0 {
+		b.fail(at, "split", "gives no service a weight")
+	}
+}
+
+// checkRules checks the bounds that a route sets for its requests.
+func (b *builder) checkRules(at place, route *vanillabarrow.Route) {
+	if route.Timeout != 0 {
+		b.duration(at, "timeout", route.Timeout, MinTimeout, MaxTimeout)
+	}
+	if route.Objective != 0 {
+		b.duration(at, "objective", route.Objective, 0, MaxTimeout)
+	}
+	if route.MaxAttempts < 0 || route.MaxAttempts > MaxRetries+1 {
+		b.fail(at, "maxAttempts", "is %d, must be from 0 to %d", route.MaxAttempts, MaxRetries+1)
+	}
+	if route.Priority < 0 {
+		b.fail(at, "priority", "is %d, must not be below zero", route.Priority)
+	}
+}
+
 // checkOverlap reports a route that could never be told apart from another.
 func (b *builder) checkOverlap(at place, route *vanillabarrow.Route) {
 	for _, other := range b.snapshot.Routes[route.Host] {
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -78,6 +78,13 @@
 		"timeout out of bounds":  {"routes:", "policies: [{service: desk, timeout: 2h}]\nroutes:", "must be from 10ms to 1m0s"},
 		"status that is no fail": {"routes:", "policies: [{service: desk, notRunStatuses: [200]}]\nroutes:", "must be from 400 to 599"},
 		"second policy":          {"routes:", "policies: [{service: desk}, {service: desk}]\nroutes:", "has a second policy"},
+		"split and service":      {"service: vault}", "service: vault, split: [{service: desk, weight: 1}]}", `routes[1].service: is "vault" beside a split`},
+		"split without service":  {"service: vault}", "split: [{service: x, weight: 1}]}", `routes[1].split: refers to service "x"`},
+		"split without weight":   {"service: vault}", "split: [{service: desk, weight: 0}]}", "routes[1].split: gives no service a weight"},
+		"weight below zero":      {"service: vault}", "split: [{service: desk, weight: -1}, {service: vault, weight: 2}]}", "must not be below zero"},
+		"route timeout":          {"service: vault}", "service: vault, timeout: 2h}", "routes[1].timeout: is 2h0m0s, must be from 10ms to 1m0s"},
+		"too many attempts":      {"service: vault}", "service: vault, maxAttempts: 9}", "routes[1].maxAttempts: is 9, must be from 0 to 6"},
+		"priority below zero":    {"service: vault}", "service: vault, priority: -1}", "routes[1].priority: is -1"},
 		"two documents":          {"routes:", "---\nroutes:", "more than one document"},
 	}
 	for name, tt := range tests {
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// get returns an idle connection or a new one. Fresh asks for a new one.
+// get returns an idle connection that still works, or a new one.
 func (p *pool) get(ctx context.Context) (*conn, error) {
 	if c := p.takeIdle(time.Now()); c != nil {
 		return c, nil
