--- a/internal/fleetbench/bench.go
+++ b/internal/experiment/bench.go
@@ -1,4 +1,4 @@
-package fleetbench
+package experiment
 
 import (
 	"context"
@@ -102,7 +102,7 @@
 
 // Run measures one fleet.
 func Run(ctx context.Context, cfg Config) (rows []Row, err error) {
-	dir, err := os.MkdirTemp("", "fleetbench")
+	dir, err := os.MkdirTemp("", "experiment")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleetbench/inventory.go
+++ b/internal/experiment/inventory.go
@@ -1,5 +1,5 @@
-// Package fleetbench measures fleets of real node processes on one machine.
-package fleetbench
+// Package experiment measures fleets of real node processes on one machine.
+package experiment
 
 import (
 	"encoding/json"
--- a/internal/fleetbench/plot_test.go
+++ b/internal/experiment/plot_test.go
@@ -1,4 +1,4 @@
-package fleetbench
+package experiment
 
 import (
 	"os"
--- /dev/null
+++ b/pkg/cmd/experiment/fleet/fleet.go
@@ -0,0 +1,115 @@
+// Package fleet implements "vanillabarrow experiment fleet".
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/experiment"
+	"github.com/vanillabarrow/vanillabarrow/pkg/cmdutil"
+	"github.com/vanillabarrow/vanillabarrow/pkg/iostreams"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	IO *iostreams.IOStreams
+
+	Binary string
+	Sizes  []int
+	Phases []experiment.Phase
+	Shape  experiment.Shape
+}
+
+// NewCmdFleet returns the command. Tests give runF to stop before the run.
+func NewCmdFleet(f *cmdutil.Factory, runF func(ctx context.Context, opts *Options) error) *ffcli.Command {
+	opts := &Options{IO: f.IO, Shape: experiment.FullShape()}
+	sizes, phases := "", ""
+	fs := cmdutil.NewFlagSet("fleet")
+	fs.StringVar(&opts.Binary, "binary", "", "node `program` to start (default: this one)")
+	fs.StringVar(&sizes, "nodes", "25,50,100,200", "fleet `sizes`, separated by commas")
+	fs.StringVar(&phases, "phases", "", "measure only these `phases`, separated by commas")
+	fs.IntVar(&opts.Shape.Targets, "targets", opts.Shape.Targets, "`number` of targets in the inventory")
+	fs.IntVar(&opts.Shape.Services, "services", opts.Shape.Services, "`number` of services in the inventory")
+	fs.IntVar(&opts.Shape.DataCentres, "data-centres", opts.Shape.DataCentres, "`number` of data centres")
+	return &ffcli.Command{
+		Name:       "fleet",
+		ShortUsage: "vanillabarrow experiment fleet [flags]",
+		ShortHelp:  "Start fleets of node processes and measure them",
+		LongHelp: `Node processes run on this machine beside a stand-in of the platform, which
+publishes an inventory and changes it. The measurements are printed as CSV.
+
+Examples:
+  vanillabarrow experiment fleet -nodes 25,50 > fleet.csv
+  vanillabarrow experiment fleet -nodes 25 -phases idle`,
+		FlagSet: fs,
+		Options: cmdutil.Options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := cmdutil.ExactArgs(args, 0, "no arguments"); err != nil {
+				return err
+			}
+			if err := opts.parse(sizes, phases); err != nil {
+				return err
+			}
+			if runF != nil {
+				return runF(ctx, opts)
+			}
+			return run(ctx, opts)
+		},
+	}
+}
+
+// parse reads the lists among the flags.
+func (o *Options) parse(sizes, phases string) error {
+	for text := range strings.SplitSeq(sizes, ",") {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > o.Shape.Targets {
+			return cmdutil.FlagErrorf("-nodes: %q is no fleet size from 1 to %d", text, o.Shape.Targets)
+		}
+		o.Sizes = append(o.Sizes, n)
+	}
+	all := experiment.Phases()
+	if phases == "" {
+		o.Phases = all
+		return nil
+	}
+	for name := range strings.SplitSeq(phases, ",") {
+		i := slices.IndexFunc(all, func(p experiment.Phase) bool { return p.Name == name })
+		if i < 0 {
+			return cmdutil.FlagErrorf("-phases: no phase is named %q", name)
+		}
+		o.Phases = append(o.Phases, all[i])
+	}
+	return nil
+}
+
+func run(ctx context.Context, opts *Options) error {
+	binary := opts.Binary
+	if binary == "" {
+		var err error
+		if binary, err = os.Executable(); err != nil {
+			return err
+		}
+	}
+	if _, err := fmt.Fprintln(opts.IO.Out, experiment.Header); err != nil {
+		return err
+	}
+	for _, n := range opts.Sizes {
+		_, err := experiment.Run(ctx, experiment.Config{
+			Binary: binary,
+			Nodes:  n,
+			Shape:  opts.Shape,
+			Phases: opts.Phases,
+			Log:    func(format string, args ...any) { _, _ = fmt.Fprintf(opts.IO.Out, format+"\n", args...) },
+		})
+		if err != nil {
+			return fmt.Errorf("%d nodes: %w", n, err)
+		}
+	}
+	return nil
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -28,53 +28,73 @@
 		Name:       "vanillabarrow",
 		ShortUsage: "vanillabarrow <command> [flags]",
 		ShortHelp:  "Distribute configuration in a service mesh and carry its requests",
-		FlagSet:    cmdutil.NewFlagSet("vanillabarrow"),
-		Options:    cmdutil.Options(),
-		Exec:       cmdutil.ExecGroup,
-		Subcommands: []*ffcli.Command{
-			cmdutil.Group("node", "Run and inspect a node", run.NewCmdRun(f, nil), dump.NewCmdDump(f, nil)),
-			cmdutil.Group("config", "Check and compare inventory and rules",
+		LongHelp: `A node runs beside each target, takes over the published configuration and
+carries requests. The other commands help its operators.
+
+Examples:
+  vanillabarrow demo
+  vanillabarrow node run -settings node.yaml
+  vanillabarrow config check inventory.yaml rules.yaml`,
+		FlagSet: cmdutil.NewFlagSet("vanillabarrow"),
+		Options: cmdutil.Options(),
+		Exec:    cmdutil.ExecGroup,
+		Subcommands: append([]*ffcli.Command{
+			cmdutil.Group("node", "Run and inspect a node", "vanillabarrow node run -settings node.yaml",
+				run.NewCmdRun(f, nil), dump.NewCmdDump(f, nil)),
+			cmdutil.Group("config", "Check and compare inventory and rules", "vanillabarrow config check inventory.yaml rules.yaml",
 				check.NewCmdCheck(f, nil), diff.NewCmdDiff(f, nil), show.NewCmdShow(f, nil), bundle.NewCmdBundle(f, nil)),
-			cmdutil.Group("fleet", "Look at all nodes", status.NewCmdStatus(f, nil)),
+			cmdutil.Group("fleet", "Look at all nodes", "vanillabarrow fleet status -inventory inventory.yaml",
+				status.NewCmdStatus(f, nil)),
 			load.NewCmdLoad(f, nil),
 			demo.NewCmdDemo(f, nil),
 			version.NewCmdVersion(f),
-		},
+		}, experiments(f)...),
 	}
 }
 
 // Main runs the program and returns its exit code.
 func Main(ctx context.Context, f *cmdutil.Factory, args []string) int {
 	root := NewCmdRoot(f)
-	if err := root.Parse(args); err != nil {
-		return exit(f, asUsage(err))
+	selected := find(root, args)
+	err := root.Parse(args)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		err = cmdutil.FlagErrorf("%w", err)
+	}
+	if err == nil {
+		err = root.Run(ctx)
 	}
-	return exit(f, root.Run(ctx))
+	return exit(f, selected, err)
 }
 
-// asUsage marks errors of the flag parser, except the request for help.
-func asUsage(err error) error {
-	if errors.Is(err, flag.ErrHelp) {
-		return err
+// find returns the command that the arguments name.
+func find(c *ffcli.Command, args []string) *ffcli.Command {
+	if len(args) == 0 {
+		return c
+	}
+	for _, sub := range c.Subcommands {
+		if sub.Name == args[0] {
+			return find(sub, args[1:])
+		}
 	}
-	return cmdutil.FlagErrorf("%w", err)
+	return c
 }
 
-// exit prints the error and returns the exit code for it.
-func exit(f *cmdutil.Factory, err error) int {
+// exit prints the error, or the help that was asked for, and returns the exit
+// code.
+func exit(f *cmdutil.Factory, c *ffcli.Command, err error) int {
 	var usage *cmdutil.FlagError
 	switch {
 	case err == nil:
 		return cmdutil.ExitOK
 	case errors.Is(err, flag.ErrHelp):
-		// The help itself was printed by the command.
-		return cmdutil.ExitUsage
+		_, _ = fmt.Fprintln(f.IO.Out, ffcli.DefaultUsageFunc(c))
+		return cmdutil.ExitOK
 	case errors.Is(err, cmdutil.ErrSilent):
 		return cmdutil.ExitFailed
 	case errors.Is(err, context.Canceled):
 		return cmdutil.ExitCancel
 	case errors.As(err, &usage):
-		_, _ = fmt.Fprintf(f.IO.ErrOut, "error: %v\nrun with -h for help\n", err)
+		_, _ = fmt.Fprintf(f.IO.ErrOut, "error: %v\n\n%s\n", err, ffcli.DefaultUsageFunc(c))
 		return cmdutil.ExitUsage
 	default:
 		_, _ = fmt.Fprintf(f.IO.ErrOut, "error: %v\n", err)
--- a/pkg/cmd/version/version.go
+++ b/pkg/cmd/version/version.go
@@ -16,6 +16,7 @@
 		Name:       "version",
 		ShortUsage: "vanillabarrow version",
 		ShortHelp:  "Print the version",
+		LongHelp:   "Examples:\n  vanillabarrow version",
 		FlagSet:    cmdutil.NewFlagSet("version"),
 		Exec: func(_ context.Context, args []string) error {
 			if err := cmdutil.ExactArgs(args, 0, "no arguments"); err != nil {
--- a/pkg/cmdutil/errors.go
+++ b/pkg/cmdutil/errors.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 )
 
@@ -39,7 +38,7 @@
 	if len(args) > 0 {
 		return FlagErrorf("unknown command %q", args[0])
 	}
-	return flag.ErrHelp
+	return FlagErrorf("a command is required")
 }
 
 // ExactArgs returns a FlagError unless there are n arguments.
--- a/pkg/cmdutil/factory.go
+++ b/pkg/cmdutil/factory.go
@@ -59,12 +59,13 @@
 	return f.ReadFile(name)
 }
 
-// Group returns a command that only has subcommands.
-func Group(name, short string, subcommands ...*ffcli.Command) *ffcli.Command {
+// Group returns a command that only has subcommands. The example is one call.
+func Group(name, short, example string, subcommands ...*ffcli.Command) *ffcli.Command {
 	return &ffcli.Command{
 		Name:        name,
 		ShortUsage:  "vanillabarrow " + name + " <command> [flags]",
 		ShortHelp:   short,
+		LongHelp:    "Examples:\n  " + example,
 		FlagSet:     NewFlagSet(name),
 		Options:     Options(),
 		Subcommands: subcommands,
