Don't take a repeated refusal for that of a later request

Cause: a target that writes an earlier refusal once more on a kept connection was believed: a request that came to the same gate again with the id of the refused one, and any request after a refusal that names no id, was reported as not run while the target ran it. A health check could take a late response to a request for its own, because it reused the request's connection. Change: a connection keeps the ids refused on it and does not carry these requests again; after a refusal without an id it is closed. Health checks use a connection of their own, which cost one before too, as theirs were never reused.

--- a/interfaces.go
+++ b/interfaces.go
@@ -105,6 +105,9 @@
 	EncodeRequest(h Header, attempt *Attempt, now time.Time)
 	// Classify returns the class of a response.
 	Classify(attempt *Attempt, status int, h Header) ResponseClass
+	// NamesRequest reports whether a response with the header names the request
+	// that it responds to.
+	NamesRequest(h Header) bool
 	// Health decodes the response to a health check.
 	Health(status int, h Header) Health
 }
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -43,6 +43,9 @@
 	// refusalBodyTimeout limits the time for which a refusal waits for its body.
 	// The target runs on the same VM and usually sends it with the header.
 	refusalBodyTimeout = 50 * time.Millisecond
+	// maxRefusalsPerConn is the number of refusals after which a connection is
+	// no longer used. It limits the ids that a connection keeps.
+	maxRefusalsPerConn = 16
 )
 
 // errDiscardedTooLarge is returned when a body to be discarded exceeds
@@ -60,6 +63,10 @@
 	// may set it concurrently, so it proves that no bytes were sent only once the
 	// connection is closed.
 	wrote atomic.Bool
+	// refused holds the ids of the requests that were refused on the connection.
+	// A faulty target may send such a refusal again. It would be taken for the
+	// refusal of the request if that were sent here once more.
+	refused map[string]bool
 }
 
 func newConn(c net.Conn) *conn {
@@ -80,6 +87,20 @@
 	return now.Before(c.usableUntil) && c.r.Buffered() == 0 && !hasPendingInput(c.Conn)
 }
 
+// addRefusal records that the target refused a request. It reports whether the
+// connection can carry another request: a refusal that does not name its
+// request could arrive again and be taken for that of any other.
+func (c *conn) addRefusal(requestID string, named bool) bool {
+	if !named || len(c.refused) >= maxRefusalsPerConn {
+		return false
+	}
+	if c.refused == nil {
+		c.refused = map[string]bool{}
+	}
+	c.refused[requestID] = true
+	return true
+}
+
 // hasPendingInput reports whether a read would return immediately with data,
 // end of file or an error.
 func hasPendingInput(c net.Conn) bool {
--- a/internal/target/exchange_test.go
+++ b/internal/target/exchange_test.go
@@ -35,6 +35,8 @@
 	}
 }
 
+func (echoProtocol) NamesRequest(vanillabarrow.Header) bool { return true }
+
 // rawTarget sends given bytes in response to each request. "ID" in them is
 // replaced by the request's id. It closes the connection after a response that
 // says so or has no length.
@@ -115,6 +117,7 @@
 func attemptWithID(id string, body []byte) *vanillabarrow.Attempt {
 	a := newAttempt(2 * time.Second)
 	a.ID = id
+	a.Request.ID = id
 	a.Request.Header[idField] = []string{id}
 	a.Request.Body, a.Request.Size = body, int64(len(body))
 	return a
--- a/internal/target/executor.go
+++ b/internal/target/executor.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,12 +106,12 @@
 
 // Execute implements vanillabarrow.Executor.
 func (e *Executor) Execute(ctx context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.Response, error) {
-	_, target, err := e.currentTarget()
+	snapshot, target, err := e.currentTarget()
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
-	response, err := e.clientFor(target).execute(ctx, a)
+	response, err := e.clientFor(target).execute(ctx, a, notRunStatuses(snapshot, target))
 	if err != nil || response.Stream == nil {
 		cancel()
 		return response, err
@@ -119,6 +120,15 @@
 	return response, nil
 }
 
+// notRunStatuses returns the statuses with which the target states that it did
+// not run a request.
+func notRunStatuses(snapshot *vanillabarrow.Snapshot, target *vanillabarrow.Target) []int {
+	if service := snapshot.Services[target.Service]; service != nil {
+		return service.NotRunStatuses
+	}
+	return nil
+}
+
 // Check sends the target a health check, limited to healthTimeout. A target
 // without a health check path counts as healthy.
 func (e *Executor) Check(ctx context.Context) (vanillabarrow.Health, error) {
@@ -148,12 +158,12 @@
 	return s.ReadCloser.Close()
 }
 
-func (c *client) execute(ctx context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.Response, error) {
+func (c *client) execute(ctx context.Context, a *vanillabarrow.Attempt, notRunStatuses []int) (*vanillabarrow.Response, error) {
 	request, err := newRequest(a, c.address, c.protocol)
 	if err != nil {
 		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonTargetDown, err.Error())
 	}
-	conn, err := c.pool.get(ctx)
+	conn, err := c.pool.getFor(ctx, a.Request.ID)
 	if err != nil {
 		return nil, transportRefusal(ctx, err, false)
 	}
@@ -165,6 +175,10 @@
 		c.pool.discard(conn)
 		return nil, transportRefusal(ctx, err, conn.wrote.Load())
 	}
+	refused := isRefusal(class) || slices.Contains(notRunStatuses, httpResponse.StatusCode)
+	if refused && !conn.addRefusal(a.Request.ID, c.protocol.NamesRequest(vanillabarrow.Header(httpResponse.Header))) {
+		reusable = false
+	}
 	body := &responseBody{ReadCloser: httpResponse.Body, conn: conn, pool: c.pool, stopInterrupt: stop, reusable: reusable, maxIdle: maxIdle(httpResponse.Header)}
 	if err := classRefusal(class); err != nil {
 		// The body of an invalid response may have no end. After any other
@@ -194,6 +208,11 @@
 	return response, nil
 }
 
+// isRefusal reports whether the class states that the request did not run.
+func isRefusal(class vanillabarrow.ResponseClass) bool {
+	return class == vanillabarrow.ResponseShed || class == vanillabarrow.ResponseMisdirected
+}
+
 // classRefusal returns the refusal for the class of a response, nil for a valid
 // response.
 func classRefusal(class vanillabarrow.ResponseClass) error {
@@ -214,13 +233,15 @@
 	if err != nil {
 		return vanillabarrow.Health{}, err
 	}
-	conn, err := c.pool.get(ctx)
+	conn, err := c.pool.getNew(ctx)
 	if err != nil {
 		return vanillabarrow.Health{}, err
 	}
 	stop := conn.interruptOnDone(ctx)
 	defer stop()
-	// Health checks are rare, so their connections are not reused.
+	// Responses to health checks do not name their request, so a late response
+	// to an earlier request must not arrive on the connection, nor this one be
+	// taken for the response to a later request.
 	defer c.pool.discard(conn)
 	if err := conn.send(request); err != nil {
 		return vanillabarrow.Health{}, err
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -61,6 +61,29 @@
 	}
 }
 
+// getFor returns a connection as get does, but none on which the request was
+// refused before.
+func (p *pool) getFor(ctx context.Context, requestID string) (*conn, error) {
+	for {
+		c, err := p.get(ctx)
+		if err != nil || !c.refused[requestID] {
+			return c, err
+		}
+		p.discard(c)
+	}
+}
+
+// getNew dials a new connection. If the maximum number of connections is open,
+// it returns one as get does.
+func (p *pool) getNew(ctx context.Context) (*conn, error) {
+	select {
+	case p.semaphore <- struct{}{}:
+		return p.dial(ctx)
+	default:
+		return p.get(ctx)
+	}
+}
+
 // dial establishes a connection, for which the caller has acquired the semaphore.
 func (p *pool) dial(ctx context.Context) (*conn, error) {
 	c, err := p.dialer.DialContext(ctx, "tcp", p.address)
--- a/internal/target/protocol.go
+++ b/internal/target/protocol.go
@@ -30,6 +30,9 @@
 	return vanillabarrow.ResponseValid
 }
 
+// NamesRequest implements vanillabarrow.TargetProtocol.
+func (Protocol) NamesRequest(vanillabarrow.Header) bool { return false }
+
 // Health implements vanillabarrow.TargetProtocol.
 func (Protocol) Health(status int, _ vanillabarrow.Header) vanillabarrow.Health {
 	return vanillabarrow.Health{OK: status == http.StatusOK}
