Limit how many gates a request tries while they refuse because of overload

Responses waited behind the refusals, attempts ended at their deadline without any response, data centre breakers opened on nodes that were only slow, and repeats kept the load up. Change: a budget by route for trying another gate after a refusal because of overload: half a gate for each request, seven at most. Other refusals are tried on as before.

--- a/internal/dispatch/chain_test.go
+++ b/internal/dispatch/chain_test.go
@@ -69,7 +69,7 @@
 		next = dispatch.New(dispatch.Config{
 			VM: "sender", DataCentre: "a", Configuration: cfg, Members: members{},
 			Balancer: balance.New(vanillabarrow.BalancerRandom), Retry: policy, Forwarder: services[i],
-			TargetLoads: dispatch.NewTargetLoads(), Throttle: dispatch.NewThrottle(), DataCentreBreakers: dispatch.NewDataCentreBreakers(), RefusalCache: dispatch.NewRefusalCache(), ExpiredTargets: dispatch.NewExpiredTargets(), GateTokens: dispatch.NewGateTokens(), Scope: tally.NoopScope, Logger: slog.New(slog.DiscardHandler),
+			TargetLoads: dispatch.NewTargetLoads(), Throttle: dispatch.NewThrottle(), DataCentreBreakers: dispatch.NewDataCentreBreakers(), RefusalCache: dispatch.NewRefusalCache(), GateAttempts: dispatch.NewGateAttempts(), ExpiredTargets: dispatch.NewExpiredTargets(), GateTokens: dispatch.NewGateTokens(), Scope: tally.NoopScope, Logger: slog.New(slog.DiscardHandler),
 			NewID: func() string { return "attempt" }, QueryAfter: time.Second,
 		})
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -48,6 +48,7 @@
 	Throttle           *Throttle
 	DataCentreBreakers *DataCentreBreakers
 	RefusalCache       *RefusalCache
+	GateAttempts       *GateAttempts
 	ExpiredTargets     *ExpiredTargets
 	GateTokens         *GateTokens
 	Scope              tally.Scope
@@ -191,6 +192,7 @@
 		}
 	}
 	d.Retry.Observe(rs.service.Name)
+	d.GateAttempts.budget.Observe(rs.request.Route)
 	var last *vanillabarrow.Refusal
 	for {
 		target := d.choose(rs)
--- a/internal/dispatch/next.go
+++ b/internal/dispatch/next.go
@@ -28,8 +28,11 @@
 	if ctx.Err() != nil || rs.attempts >= maxGateAttempts || time.Until(rs.deadline) < minTimeLeft {
 		return false
 	}
+	if last.Reason == vanillabarrow.ReasonOverloaded && !last.ReachedTarget() {
+		return !rs.late && d.GateAttempts.budget.Allow(rs.request.Route, last.Reason)
+	}
 	if !last.ReachedTarget() {
-		return !rs.late || last.Reason != vanillabarrow.ReasonOverloaded
+		return true
 	}
 	rs.targetsReached++
 	if rs.targetsReached >= rs.request.MaxAttempts || !d.Retry.Allow(rs.service.Name, last.Reason) {
--- a/internal/dispatch/next_test.go
+++ b/internal/dispatch/next_test.go
@@ -86,7 +86,7 @@
 	return dispatch.New(dispatch.Config{
 		VM: "sender", DataCentre: "a", Configuration: cfg, Members: members{},
 		Balancer: balance.New(vanillabarrow.BalancerCheapest), Retry: retry.New(retry.Config{Share: 0, Reserve: 3}),
-		Forwarder: g, TargetLoads: dispatch.NewTargetLoads(), Throttle: throttle, DataCentreBreakers: dispatch.NewDataCentreBreakers(), RefusalCache: dispatch.NewRefusalCache(), ExpiredTargets: dispatch.NewExpiredTargets(),
+		Forwarder: g, TargetLoads: dispatch.NewTargetLoads(), Throttle: throttle, DataCentreBreakers: dispatch.NewDataCentreBreakers(), RefusalCache: dispatch.NewRefusalCache(), GateAttempts: dispatch.NewGateAttempts(), ExpiredTargets: dispatch.NewExpiredTargets(),
 		GateTokens: dispatch.NewGateTokens(), Scope: tally.NoopScope, Logger: slog.New(slog.DiscardHandler), NewID: func() string { return "id" }, QueryAfter: time.Second,
 	}), throttle
 }
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -189,7 +189,7 @@
 			senders = append(senders, dispatch.New(dispatch.Config{
 				VM: fmt.Sprint("sender", i), DataCentre: "a", Configuration: cfg, Members: members{},
 				Balancer: balance.New(balancer), Retry: retry.New(retry.DefaultConfig()), Forwarder: &senderForwarder{targets, i},
-				TargetLoads: targets.loads[i], Throttle: dispatch.NewThrottle(), DataCentreBreakers: dispatch.NewDataCentreBreakers(), RefusalCache: dispatch.NewRefusalCache(),
+				TargetLoads: targets.loads[i], Throttle: dispatch.NewThrottle(), DataCentreBreakers: dispatch.NewDataCentreBreakers(), RefusalCache: dispatch.NewRefusalCache(), GateAttempts: dispatch.NewGateAttempts(),
 				ExpiredTargets: dispatch.NewExpiredTargets(), GateTokens: dispatch.NewGateTokens(), Scope: tally.NoopScope, Logger: slog.New(slog.DiscardHandler),
 				NewID: func() string { return "id" }, QueryAfter: time.Minute,
 			}))
--- a/internal/dispatch/plugin.go
+++ b/internal/dispatch/plugin.go
@@ -21,7 +21,7 @@
 	kernel.Register(kernel.Plugin{
 		Name: "dispatch",
 		Options: fx.Options(
-			fx.Provide(NewTargetLoads, NewGateTokens, NewThrottle, NewDataCentreBreakers, NewRefusalCache, NewExpiredTargets, provideDispatcher),
+			fx.Provide(NewTargetLoads, NewGateTokens, NewThrottle, NewDataCentreBreakers, NewRefusalCache, NewGateAttempts, NewExpiredTargets, provideDispatcher),
 			fx.Invoke(startSweep),
 			kernel.ProvideState(func(l *TargetLoads) kernel.StateSource {
 				return kernel.StateSource{Name: "loads", State: func() any { return l.State(time.Now()) }}
@@ -53,6 +53,7 @@
 	Throttle           *Throttle
 	DataCentreBreakers *DataCentreBreakers
 	RefusalCache       *RefusalCache
+	GateAttempts       *GateAttempts
 	ExpiredTargets     *ExpiredTargets
 	GateTokens         *GateTokens
 	Scope              tally.Scope
@@ -72,6 +73,7 @@
 		Throttle:           p.Throttle,
 		DataCentreBreakers: p.DataCentreBreakers,
 		RefusalCache:       p.RefusalCache,
+		GateAttempts:       p.GateAttempts,
 		ExpiredTargets:     p.ExpiredTargets,
 		GateTokens:         p.GateTokens,
 		Scope:              p.Scope,
