--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -9,11 +9,6 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/route"
 )
 
-// subsetSize is the maximum number of registered targets of one service, and of
-// its expired targets, that are candidates at a node. A request with an
-// idempotency key may go to any target of the service.
-const subsetSize = 24
-
 // choose returns the target for the next attempt, nil for none. A
 // non-idempotent request with an idempotency key goes to the target that owns
 // the key.
@@ -83,10 +78,7 @@
 // candidates returns the targets that may get the next attempt.
 func (d *Dispatcher) candidates(s *vanillabarrow.Snapshot, service *vanillabarrow.Service, rs *requestState) []vanillabarrow.Candidate {
 	now := time.Now()
-	names := subset(d.VM, service.Targets)
-	if len(service.ExpiredTargets) > 0 {
-		names = slices.Concat(names, subset(d.VM, service.ExpiredTargets))
-	}
+	names := d.subsets.of(service)
 	candidates := make([]vanillabarrow.Candidate, 0, len(names))
 	bytes := d.TargetLoads.expectedBytes(rs.request)
 	for _, name := range names {
@@ -120,13 +112,3 @@
 	c.Trial = c.Trial || trial
 	return admitted
 }
-
-// subset limits the connections from a node to the targets of a large service.
-// Rendezvous hashing distributes the subsets of all nodes evenly over the
-// targets.
-func subset(vm string, targets []string) []string {
-	if len(targets) <= subsetSize {
-		return targets
-	}
-	return idempotency.RankTargets(vm, targets)[:subsetSize]
-}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -64,12 +64,13 @@
 type Dispatcher struct {
 	Config
 	latencies latencies
+	subsets   *subsets
 }
 
 // New returns a Dispatcher.
 func New(cfg Config) *Dispatcher {
 	cfg.Scope = cfg.Scope.SubScope("dispatch")
-	return &Dispatcher{Config: cfg, latencies: newLatencies(cfg.Scope)}
+	return &Dispatcher{Config: cfg, latencies: newLatencies(cfg.Scope), subsets: newSubsets(cfg.VM)}
 }
 
 // requestState is the state of one request while it is dispatched.
--- a/internal/kernel/lock.go
+++ b/internal/kernel/lock.go
@@ -15,6 +15,8 @@
 	RankFence
 	RankIdempotency
 	RankLimiter
+	RankTransfers
+	RankSubsets
 	RankTargetLoads
 	RankGateTokens
 	RankRetryBudget
