Spread the return of callers that were refused because of overload

Cause: callers refused together got the same Retry-After, the wait of the queue that refused them, and came back together while the queue was as long as before. Change: the delay is extended by a random part of up to its own length.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/random"
 	"github.com/vanillabarrow/vanillabarrow/internal/retry"
 )
 
@@ -176,6 +177,10 @@
 		r.Verdict = vanillabarrow.VerdictMayHaveRun
 	}
 	r.Retries = max(r.Retries, rs.retries)
+	if r.Reason == vanillabarrow.ReasonOverloaded && r.RetryAfter > 0 {
+		// Callers refused at the same time come back at different times.
+		r.RetryAfter += random.Duration(r.RetryAfter)
+	}
 	d.latencies.record(rs.request, r.Verdict, time.Since(start))
 	d.Scope.Tagged(map[string]string{
 		"verdict": r.Verdict.String(),
