Let a panic of an attempt end only its request

Cause: the goroutines that forward an attempt, query its gate or send a large body ran outside the worker pool and net/http, so one panic there ended the node.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -45,9 +45,19 @@
 	result     chan outcome
 }
 
-func (p *pendingAttempt) run(ctx context.Context) {
+func (p *pendingAttempt) run(ctx context.Context) { p.result <- p.forward(ctx) }
+
+// forward forwards the attempt. A panic ends only the attempt, which may have
+// been sent by then.
+func (p *pendingAttempt) forward(ctx context.Context) (out outcome) {
+	defer func() {
+		if r := recover(); r != nil {
+			p.dispatcher.recordPanic("dispatch.forward", r)
+			out = outcome{err: vanillabarrow.MayHaveRun(vanillabarrow.ReasonAnswerLost, "the forwarder panicked")}
+		}
+	}()
 	resp, err := p.dispatcher.Forwarder.Forward(ctx, p.attempt)
-	p.result <- outcome{resp, err}
+	return outcome{resp, err}
 }
 
 // loopDiscard waits for the forwarder and closes a response that is no longer
@@ -99,9 +109,18 @@
 	result  chan queryResult
 }
 
-func (q *pendingQuery) run(ctx context.Context) {
+func (q *pendingQuery) run(ctx context.Context) { q.result <- q.query(ctx) }
+
+// query queries the gate once. After a panic the outcome remains unknown.
+func (q *pendingQuery) query(ctx context.Context) (result queryResult) {
+	defer func() {
+		if r := recover(); r != nil {
+			q.attempt.dispatcher.recordPanic("dispatch.query", r)
+			result = queryResult{}
+		}
+	}()
 	out, resolved := q.attempt.dispatcher.queryOutcome(ctx, q.attempt)
-	q.result <- queryResult{out, resolved}
+	return queryResult{out, resolved}
 }
 
 // attemptOnce makes one attempt at the target and updates the tables with its
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
@@ -60,3 +61,9 @@
 		d.Logger.Info(logging.EventRouteUnthrottled, "route", route, "target", resp.Target)
 	}
 }
+
+// recordPanic counts and logs a panic of a goroutine that serves one request.
+func (d *Dispatcher) recordPanic(job string, r any) {
+	d.Scope.Counter("panics").Inc(1)
+	d.Logger.Error(logging.EventJobPanicked, "job", job, "panic", r, "stack", string(debug.Stack()))
+}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -92,7 +92,7 @@
 		EventRequestsAborted:        {[]string{"listener", "error"}, "requests were still open when the drain timeout passed, and were aborted"},
 		EventListenerFailed:         {[]string{"listener", "error"}, "a listener no longer accepts connections"},
 		EventTCPUserTimeoutNotSet:   {[]string{"listener", "error"}, "TCP_USER_TIMEOUT could not be set on a connection"},
-		EventJobPanicked:            {[]string{"job", "panic", "stack"}, "a job of the worker pool panicked and ended, which is a bug in the node"},
+		EventJobPanicked:            {[]string{"job", "panic", "stack"}, "a job of the worker pool, or the goroutine of an attempt, panicked and ended, which is a bug in the node"},
 		EventPaused:                 {[]string{"for"}, "the process was suspended for this time; new requests wait until the configuration has been checked"},
 		EventLinesDropped:           {[]string{"count"}, "number of log lines dropped since the last line of this event"},
 		EventSettingsReloaded:       {[]string{"service", "before", "needsRestart"}, "the changed settings file was loaded; needsRestart is set if the target or a listening address changed"},
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -52,6 +53,9 @@
 // maxDiscardedBytes.
 var errDiscardedTooLarge = errors.New("the body to be discarded exceeds the size limit")
 
+// errSendPanicked is returned when sending a request panicked.
+var errSendPanicked = errors.New("panic while the request was sent")
+
 // conn is a connection to the target. It carries one request at a time.
 type conn struct {
 	net.Conn
@@ -129,7 +133,19 @@
 	done    chan error
 }
 
-func (w *requestWriter) run() { w.done <- w.conn.send(w.request) }
+func (w *requestWriter) run() { w.done <- w.send() }
+
+// send sends the request. A panic, such as one of the body's reader, ends only
+// the request.
+func (w *requestWriter) send() (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("%w: %v", errSendPanicked, r)
+			_ = w.conn.Close()
+		}
+	}()
+	return w.conn.send(w.request)
+}
 
 func (c *conn) send(request *http.Request) error {
 	if err := request.Write(c.w); err != nil {
--- a/internal/target/repeated_refusal_test.go
+++ b/internal/target/repeated_refusal_test.go
@@ -127,3 +127,18 @@
 	require.EqualValues(t, 2, r.dialed.Load())
 	require.Len(t, e.client.Load().pool.idle, 1, "the request's connection stays open")
 }
+
+// panickingBody panics when it is read.
+type panickingBody struct{}
+
+func (panickingBody) Read([]byte) (int, error) { panic("body") }
+
+// TestPanicOfBodyEndsOnlyTheRequest checks that a panic while a large body is
+// sent ends the request, which may have run.
+func TestPanicOfBodyEndsOnlyTheRequest(t *testing.T) {
+	e := startRawTarget(t, &rawTarget{responses: []string{matching}})
+	a := attemptWithID("one", make([]byte, 2*maxInlineBodyBytes))
+	a.Request.Stream, a.Request.Size = panickingBody{}, 1<<20
+	_, err := e.Execute(t.Context(), a)
+	require.Equal(t, vanillabarrow.VerdictMayHaveRun, vanillabarrow.AsRefusal(err).Verdict)
+}
