Receive large bodies in turn at a gate

A gate with nine slots asked for nine bodies of 60 KB at once, which filled its link for almost half a second while each held a slot. Change: a gate receives two large bodies (above 16 KB) at a time. The others wait before they take a slot, or are refused at once if their turn would come too late. A turn ends with the body, or after 250 ms if a sender stalls.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -32,6 +32,7 @@
 	executor     vanillabarrow.Executor
 	keyReleaser  vanillabarrow.KeyReleaser
 	limiter      vanillabarrow.Limiter
+	transfers    *transfers
 	fence        *fence.Table
 	keys         *idempotency.Table
 	owners       *idempotency.OwnerHistory
@@ -84,6 +85,7 @@
 		executor:      cfg.Executor,
 		keyReleaser:   cfg.KeyReleaser,
 		limiter:       cfg.Limiter,
+		transfers:     newTransfers(),
 		fence:         fence.New(cfg.Incarnation, now),
 		keys:          idempotency.New(now),
 		owners:        idempotency.NewOwnerHistory(),
@@ -271,6 +273,11 @@
 func (g *Gate) run(ctx context.Context, attempt *vanillabarrow.Attempt) (*vanillabarrow.Response, error) {
 	admission := admissionOf(attempt)
 	arrived := time.Now()
+	turn, err := g.transfers.acquire(ctx, attempt.Request, admission)
+	if err != nil {
+		return nil, err
+	}
+	defer turn.end()
 	if err := g.limiter.Acquire(ctx, admission); err != nil {
 		return nil, err
 	}
@@ -280,7 +287,7 @@
 		g.limiter.Release(admission, vanillabarrow.SignalNeutral, 0)
 		return nil, err
 	}
-	if err := readBody(attempt.Request); err != nil {
+	if err := readBody(attempt.Request, turn); err != nil {
 		g.limiter.Release(admission, vanillabarrow.SignalNeutral, 0)
 		return nil, err
 	}
@@ -304,10 +311,23 @@
 	return response, nil
 }
 
+// receiveBody reads the body when it is the attempt's turn.
+func (g *Gate) receiveBody(ctx context.Context, attempt *vanillabarrow.Attempt) error {
+	turn, err := g.transfers.acquire(ctx, attempt.Request, admissionOf(attempt))
+	if err != nil {
+		return err
+	}
+	if err := readBody(attempt.Request, turn); err != nil {
+		turn.end()
+		return err
+	}
+	return nil
+}
+
 // readBody reads up to maxBufferedBody of a body that the sender holds back until
-// it is read (Expect: 100-continue). If this fails the request has certainly not
+// it is read (Expect: 100-continue), and ends the turn with the body. If this fails the request has certainly not
 // run, as the target has received no byte of it.
-func readBody(r *vanillabarrow.Request) error {
+func readBody(r *vanillabarrow.Request, turn *transferTurn) error {
 	if r.Stream == nil || len(r.Body) > 0 {
 		return nil
 	}
@@ -315,10 +335,13 @@
 	if err != nil {
 		return vanillabarrow.NotRun(vanillabarrow.ReasonBodyIncomplete, err.Error())
 	}
-	r.Body, r.Stream = start, rest
+	r.Body, r.Stream = start, nil
 	if rest == nil {
 		r.Size = int64(len(start))
+		turn.end()
+		return nil
 	}
+	r.Stream = &transferBody{rest, turn}
 	return nil
 }
 
--- a/internal/gate/keys.go
+++ b/internal/gate/keys.go
@@ -27,7 +27,7 @@
 	if !ownership.IsOwner {
 		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonWrongTarget, "another gate owns the idempotency key")
 	}
-	if err := readBody(request); err != nil {
+	if err := g.receiveBody(ctx, attempt); err != nil {
 		return nil, err
 	}
 	release := vanillabarrow.KeyReleaseRequest{
