--- a/internal/dispatch/gate_attempts.go
+++ b/internal/dispatch/gate_attempts.go
@@ -1,8 +1,6 @@
 package dispatch
 
-import (
-	"github.com/vanillabarrow/vanillabarrow/internal/retry"
-)
+import "github.com/vanillabarrow/vanillabarrow/internal/retry"
 
 const (
 	// gateAttemptShare is the number of further gates that each request of a
@@ -11,6 +9,9 @@
 	// gateAttemptReserve is the maximum number of further gates in the budget of
 	// a route. It lets a request find a free gate when a few are overloaded.
 	gateAttemptReserve = 7
+	// maxGateAttemptRoutes is the number of routes above which all budgets are
+	// reset.
+	maxGateAttemptRoutes = 4096
 )
 
 // GateAttempts is the budget for trying another gate after one that refused
@@ -26,3 +27,6 @@
 func NewGateAttempts() *GateAttempts {
 	return &GateAttempts{budget: retry.New(retry.Config{Share: gateAttemptShare, Reserve: gateAttemptReserve})}
 }
+
+// Sweep resets the budgets if there are too many.
+func (g *GateAttempts) Sweep() { g.budget.Trim(maxGateAttemptRoutes) }
--- a/internal/dispatch/plugin.go
+++ b/internal/dispatch/plugin.go
@@ -85,10 +85,11 @@
 
 // startSweep schedules the removal of unused table entries, so that the tables
 // do not grow with targets that no longer exist.
-func startSweep(lc fx.Lifecycle, pool *kernel.Pool, loads *TargetLoads, tokens *GateTokens, refusals *RefusalCache, expired *ExpiredTargets, cfg vanillabarrow.Configuration) {
+func startSweep(lc fx.Lifecycle, pool *kernel.Pool, loads *TargetLoads, tokens *GateTokens, refusals *RefusalCache, attempts *GateAttempts, expired *ExpiredTargets, cfg vanillabarrow.Configuration) {
 	sweep := func(context.Context) {
 		loads.Sweep(time.Now())
 		refusals.Sweep(time.Now())
+		attempts.Sweep()
 		if snapshot := cfg.Snapshot(); snapshot != nil {
 			expired.Retain(func(target string) bool { t := snapshot.Targets[target]; return t != nil && t.Expired })
 			tokens.Retain(func(target string) bool { return snapshot.Targets[target] != nil })
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -80,6 +80,16 @@
 	return true
 }
 
+// Trim resets all budgets if there are more than n, so that the table does not
+// grow with names that are no longer used.
+func (b *Budget) Trim(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.tokens) > n {
+		clear(b.tokens)
+	}
+}
+
 // Tokens returns the remaining retries by service, for the state dump.
 func (b *Budget) Tokens() map[string]float64 {
 	b.mu.Lock()
