--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,10 +21,6 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/message"
 )
 
-// maxBufferedBody is the maximum number of body bytes that are read before the
-// request is sent to the target.
-const maxBufferedBody = 64 << 10
-
 // Gate implements vanillabarrow.Gate for the target on the node's VM.
 type Gate struct {
 	ownTarget    vanillabarrow.TargetRef
@@ -311,40 +307,6 @@
 	return response, nil
 }
 
-// receiveBody reads the body when it is the attempt's turn.
-func (g *Gate) receiveBody(ctx context.Context, attempt *vanillabarrow.Attempt) error {
-	turn, err := g.transfers.acquire(ctx, attempt.Request, admissionOf(attempt))
-	if err != nil {
-		return err
-	}
-	if err := readBody(attempt.Request, turn); err != nil {
-		turn.end()
-		return err
-	}
-	return nil
-}
-
-// readBody reads up to maxBufferedBody of a body that the sender holds back until
-// it is read (Expect: 100-continue), and ends the turn with the body. If this fails the request has certainly not
-// run, as the target has received no byte of it.
-func readBody(r *vanillabarrow.Request, turn *transferTurn) error {
-	if r.Stream == nil || len(r.Body) > 0 {
-		return nil
-	}
-	start, rest, err := message.SplitBody(r.Stream, maxBufferedBody)
-	if err != nil {
-		return vanillabarrow.NotRun(vanillabarrow.ReasonBodyIncomplete, err.Error())
-	}
-	r.Body, r.Stream = start, nil
-	if rest == nil {
-		r.Size = int64(len(start))
-		turn.end()
-		return nil
-	}
-	r.Stream = &transferBody{rest, turn}
-	return nil
-}
-
 func admissionOf(a *vanillabarrow.Attempt) vanillabarrow.Admission {
 	return vanillabarrow.Admission{
 		Class:     a.Request.Route,
--- a/internal/gate/transfers_test.go
+++ b/internal/gate/transfers_test.go
@@ -81,15 +81,20 @@
 	return a
 }
 
+// newGateOnSlowLink returns a gate with a healthy target and a link of 10 Mbit/s.
+func newGateOnSlowLink() (*Gate, *slowLink) {
+	g, _ := newGate(&fakeExecutor{delay: 40 * time.Millisecond, status: 200})
+	g.limiter = limit.NewOrdered(slots)
+	g.limiter.UpdateHealth(vanillabarrow.Health{OK: true}, time.Now())
+	return g, &slowLink{bytesPerSecond: 1_250_000}
+}
+
 // TestLargeBodiesTakeTurns sends as many uploads as the target has slots over a
 // link of 10 Mbit/s, and a nested call behind them. Bodies that arrive together
 // would hold all slots and fill the link.
 func TestLargeBodiesTakeTurns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g, _ := newGate(&fakeExecutor{delay: 40 * time.Millisecond, status: 200})
-		g.limiter = limit.NewOrdered(slots)
-		g.limiter.UpdateHealth(vanillabarrow.Health{OK: true}, time.Now())
-		link := &slowLink{bytesPerSecond: 1_250_000}
+		g, link := newGateOnSlowLink()
 		var wg sync.WaitGroup
 		for i := range slots {
 			a := upload(g, fmt.Sprint("upload", i), link, time.Second)
@@ -159,10 +164,7 @@
 // others for a limited time only.
 func TestStalledTransferPassesItsTurnOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g, _ := newGate(&fakeExecutor{delay: 40 * time.Millisecond, status: 200})
-		g.limiter = limit.NewOrdered(slots)
-		g.limiter.UpdateHealth(vanillabarrow.Health{OK: true}, time.Now())
-		link := &slowLink{bytesPerSecond: 1_250_000}
+		g, link := newGateOnSlowLink()
 		var wg sync.WaitGroup
 		for i := range maxTransfers {
 			a := upload(g, fmt.Sprint("stalled", i), link, time.Second)
--- a/internal/trace/line.go
+++ b/internal/trace/line.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"strconv"
@@ -78,6 +79,21 @@
 	return skipped, scanner.Err()
 }
 
+// ReadFiles calls visit for each log line of a node in the named files, whose
+// content read returns.
+func ReadFiles(names []string, read func(name string) ([]byte, error), visit func(*Line)) error {
+	for _, name := range names {
+		b, err := read(name)
+		if err != nil {
+			return err
+		}
+		if _, err := Read(bytes.NewReader(b), visit); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
 // parse decodes a line. It returns false if the text is not a log line of a
 // node.
 func parse(text string) (*Line, bool) {
--- a/pkg/cmd/refusals/refusals.go
+++ b/pkg/cmd/refusals/refusals.go
@@ -2,7 +2,6 @@
 package refusals
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"time"
@@ -77,14 +76,8 @@
 
 func run(opts *Options) error {
 	counter := trace.NewRefusalCounter(opts.Interval)
-	for _, name := range opts.Files {
-		b, err := opts.Read(name)
-		if err != nil {
-			return err
-		}
-		if _, err := trace.Read(bytes.NewReader(b), counter.Add); err != nil {
-			return fmt.Errorf("%s: %w", name, err)
-		}
+	if err := trace.ReadFiles(opts.Files, opts.Read, counter.Add); err != nil {
+		return err
 	}
 	summary := counter.Summary()
 	if opts.JSON {
--- a/pkg/cmd/trace/trace.go
+++ b/pkg/cmd/trace/trace.go
@@ -2,7 +2,6 @@
 package trace
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"time"
@@ -79,17 +78,12 @@
 func run(opts *Options) error {
 	collector := trace.New(opts.ID, opts.Around)
 	lines := 0
-	for _, name := range opts.Files {
-		b, err := opts.Read(name)
-		if err != nil {
-			return err
-		}
-		if _, err := trace.Read(bytes.NewReader(b), func(l *trace.Line) {
-			lines++
-			collector.Add(l)
-		}); err != nil {
-			return fmt.Errorf("%s: %w", name, err)
-		}
+	err := trace.ReadFiles(opts.Files, opts.Read, func(l *trace.Line) {
+		lines++
+		collector.Add(l)
+	})
+	if err != nil {
+		return err
 	}
 	timeline := collector.Timeline()
 	if !timeline.Found() {
