Shorten the turn of a large body

Cause: a turn of 250 ms lets a gate start eight bodies a second while their links lose packets, which is less than the uploads of a target at times. Change: 125 ms, sixteen bodies a second. On a link of 10 Mbit/s two bodies of 60 KB take 96 ms.

--- a/internal/gate/transfers.go
+++ b/internal/gate/transfers.go
@@ -20,8 +20,9 @@
 	// of the next.
 	maxTransfers = 2
 	// maxTurn is the time after which a transfer no longer counts, so that
-	// a sender that stalls does not hold up the others.
-	maxTurn = 250 * time.Millisecond
+	// a sender that stalls, or whose link loses packets, does not hold up the
+	// others.
+	maxTurn = 125 * time.Millisecond
 	// initialTransferTime is the mean duration of a transfer that is assumed
 	// before the first one.
 	initialTransferTime = 50 * time.Millisecond
