End the turn of a large body when it stalls

Cause: turns of 125 ms let more bodies begin than a link of 10 Mbit/s takes: 60 KB take 96 ms beside another, and some bodies are larger, so ever more arrived together again. Turns of 250 ms in turn let only eight bodies a second begin while their links lose packets. Change: a turn lasts while bytes arrive, up to 500 ms. It ends after 50 ms without any, or 250 ms without the first one, which includes the wait for a slot. TestStalledTransferPassesItsTurnOn has a case each for a body that does not begin, stalls or does not end.

--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -31,16 +31,13 @@
 	if r.Stream == nil || len(r.Body) > 0 {
 		return nil
 	}
-	start, rest, err := message.SplitBody(r.Stream, maxBufferedBody)
+	start, rest, err := message.SplitBody(&transferBody{r.Stream, turn}, maxBufferedBody)
 	if err != nil {
 		return vanillabarrow.NotRun(vanillabarrow.ReasonBodyIncomplete, err.Error())
 	}
-	r.Body, r.Stream = start, nil
+	r.Body, r.Stream = start, rest
 	if rest == nil {
 		r.Size = int64(len(start))
-		turn.end()
-		return nil
 	}
-	r.Stream = &transferBody{rest, turn}
 	return nil
 }
--- a/internal/gate/transfers.go
+++ b/internal/gate/transfers.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"slices"
-	"sync"
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
@@ -19,10 +18,13 @@
 	// time. A second one keeps the link busy between the end of one and the start
 	// of the next.
 	maxTransfers = 2
-	// maxTurn is the time after which a transfer no longer counts, so that
-	// a sender that stalls, or whose link loses packets, does not hold up the
-	// others.
-	maxTurn = 125 * time.Millisecond
+	// startTimeout, stallTimeout and maxTurn end a turn early: if no byte arrives
+	// after its start, which includes the wait for a slot, if none arrives for a
+	// while, as when the link loses packets, and if it takes too long in total.
+	// The body is still received then, beside the next one.
+	startTimeout = 250 * time.Millisecond
+	stallTimeout = 50 * time.Millisecond
+	maxTurn      = 500 * time.Millisecond
 	// initialTransferTime is the mean duration of a transfer that is assumed
 	// before the first one.
 	initialTransferTime = 50 * time.Millisecond
@@ -123,7 +125,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := &transferTurn{transfers: t, start: time.Now()}
-	r.timer = time.AfterFunc(maxTurn, r.end)
+	r.timer = time.AfterFunc(startTimeout, r.end)
 	return r
 }
 
@@ -133,7 +135,19 @@
 	transfers *transfers
 	start     time.Time
 	timer     *time.Timer
-	once      sync.Once
+	ended     bool
+}
+
+// progress extends the turn, because bytes of the body arrived.
+func (r *transferTurn) progress() {
+	if r.transfers == nil {
+		return
+	}
+	r.transfers.mu.Lock()
+	defer r.transfers.mu.Unlock()
+	if !r.ended {
+		r.timer.Reset(min(stallTimeout, max(0, maxTurn-time.Since(r.start))))
+	}
 }
 
 // end passes the turn on. Further calls have no effect.
@@ -141,18 +155,21 @@
 	if r.transfers == nil {
 		return
 	}
-	r.once.Do(func() {
-		t := r.transfers
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		r.timer.Stop()
-		took := time.Since(r.start)
-		t.meanTime += time.Duration(transferTimeWeight * float64(took-t.meanTime))
-		t.next()
-	})
+	t := r.transfers
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.ended {
+		return
+	}
+	r.ended = true
+	r.timer.Stop()
+	took := time.Since(r.start)
+	t.meanTime += time.Duration(transferTimeWeight * float64(took-t.meanTime))
+	t.next()
 }
 
-// transferBody ends the turn of a body when its last byte was read.
+// transferBody extends the turn of a body while bytes arrive, and ends it with
+// the last one.
 type transferBody struct {
 	io.Reader
 	turn *transferTurn
@@ -163,6 +180,8 @@
 	n, err := b.Reader.Read(p)
 	if err != nil {
 		b.turn.end()
+	} else {
+		b.turn.progress()
 	}
 	return n, err
 }
--- a/internal/gate/transfers_test.go
+++ b/internal/gate/transfers_test.go
@@ -43,15 +43,23 @@
 	link *slowLink
 	left int64
 	open bool
-	// stalled makes the body stop arriving for this time at its start.
+	// stalled is the time for which the body stops arriving when stallAt bytes
+	// are left, or at its start if stallAt is zero.
 	stalled time.Duration
+	stallAt int64
 }
 
 func (b *linkBody) Read(p []byte) (int, error) {
 	if !b.open {
 		b.open = true
 		b.link.count(1)
+		if b.stallAt == 0 {
+			b.stallAt = b.left
+		}
+	}
+	if b.left <= b.stallAt {
 		time.Sleep(b.stalled)
+		b.stalled = 0
 	}
 	if b.left == 0 {
 		b.link.count(-1)
@@ -160,23 +168,37 @@
 	}
 }
 
-// TestStalledTransferPassesItsTurnOn checks that bodies that do not arrive delay
-// others for a limited time only.
+// TestStalledTransferPassesItsTurnOn checks that bodies that do not arrive, or
+// stop arriving, delay others for a limited time only.
 func TestStalledTransferPassesItsTurnOn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g, link := newGateOnSlowLink()
-		var wg sync.WaitGroup
-		for i := range maxTransfers {
-			a := upload(g, fmt.Sprint("stalled", i), link, time.Second)
-			a.Request.Stream = &linkBody{link: link, left: a.Request.Size, stalled: 2 * time.Second}
-			wg.Go(func() { _, _ = g.Handle(t.Context(), a) })
-		}
-		synctest.Wait()
-		began := time.Now()
-		_, err := g.Handle(t.Context(), upload(g, "next", link, time.Second))
-		require.NoError(t, err)
-		require.LessOrEqual(t, time.Since(began), maxTurn+100*time.Millisecond)
-		wg.Wait()
-		require.Zero(t, g.transfers.active)
-	})
+	tests := map[string]struct {
+		body  linkBody
+		bound time.Duration
+	}{
+		"before the first byte": {linkBody{left: 60_000, stalled: 2 * time.Second}, startTimeout},
+		"within the body":       {linkBody{left: 60_000, stalled: 2 * time.Second, stallAt: 30_000}, 50*time.Millisecond + stallTimeout},
+		"endless":               {linkBody{left: 1 << 30}, maxTurn},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, link := newGateOnSlowLink()
+				var wg sync.WaitGroup
+				for i := range maxTransfers {
+					a := upload(g, fmt.Sprint("stalled", i), link, time.Second)
+					body := tt.body
+					body.link, a.Request.Stream = link, &body
+					wg.Go(func() { _, _ = g.Handle(t.Context(), a) })
+				}
+				synctest.Wait()
+				began := time.Now()
+				turn, err := g.transfers.acquire(t.Context(), upload(g, "next", link, time.Second).Request, vanillabarrow.Admission{Deadline: began.Add(time.Second)})
+				require.NoError(t, err)
+				require.LessOrEqual(t, time.Since(began), tt.bound+10*time.Millisecond)
+				turn.end()
+				wg.Wait()
+				require.Zero(t, g.transfers.active)
+			})
+		})
+	}
 }
