--- a/internal/dispatch/subsets.go
+++ b/internal/dispatch/subsets.go
@@ -14,8 +14,8 @@
 // of the service.
 const subsetSize = 24
 
-// subsets caches the node's targets of each service. Ranking all targets for
-// every attempt would cost more than the attempt in a service with hundreds.
+// subsets caches the node's targets of each service, because the cost of ranking
+// all targets for every attempt grows with the service.
 type subsets struct {
 	vm      string
 	mu      *kernel.Mutex
