--- a/internal/trace/line.go
+++ b/internal/trace/line.go
@@ -1,5 +1,5 @@
 // Package trace reconstructs the timeline of one request from the logs of
-// several nodes.
+// several nodes, and counts the refusals in them.
 package trace
 
 import (
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -18,6 +18,7 @@
 	"github.com/vanillabarrow/vanillabarrow/pkg/cmd/load"
 	"github.com/vanillabarrow/vanillabarrow/pkg/cmd/node/dump"
 	"github.com/vanillabarrow/vanillabarrow/pkg/cmd/node/run"
+	"github.com/vanillabarrow/vanillabarrow/pkg/cmd/refusals"
 	"github.com/vanillabarrow/vanillabarrow/pkg/cmd/trace"
 	"github.com/vanillabarrow/vanillabarrow/pkg/cmd/version"
 	"github.com/vanillabarrow/vanillabarrow/pkg/cmdutil"
@@ -47,6 +48,7 @@
 			cmdutil.NewGroup("fleet", "Inspect the nodes of the fleet", "vanillabarrow fleet status -inventory inventory.yaml",
 				status.NewCmdStatus(f, nil)),
 			trace.NewCmdTrace(f, nil),
+			refusals.NewCmdRefusals(f, nil),
 			load.NewCmdLoad(f, nil),
 			demo.NewCmdDemo(f, nil),
 			version.NewCmdVersion(f),
