--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -28,6 +28,7 @@
 	"prefix":  runPrefix,
 	"readers": runReaders,
 	"cut":     runCutWatch,
+	"silent":  runSilent,
 }
 
 func main() { os.Exit(run()) }
--- a/review/harness/scenarios.go
+++ b/review/harness/scenarios.go
@@ -13,6 +13,9 @@
 const (
 	configApply = 2 * time.Second
 	drainBound  = 2 * time.Second
+	// stabilityWindow is the time after a disruption in which a machine is not in
+	// touch.
+	stabilityWindow = 3 * time.Second
 )
 
 // ranAt returns the runs of an attempt at all upstreams.
@@ -177,6 +180,55 @@
 	return late, nil
 }
 
+// runSilent silences all open connections between the nodes and the store. New ones
+// work. The configuration changes soon after.
+func runSilent(d *deployment, trouble bool) (int, error) {
+	const (
+		probeEvery = 40 * time.Millisecond
+		probesFor  = 6 * time.Second
+	)
+	readers := d.readers()
+	if len(readers) == 0 {
+		return 0, errNotRun{"no node watches the store"}
+	}
+	firstAt := d.publish(append([]route{{"r-move", "/move/", "safe", desk}}, baseRoutes...))
+	for _, n := range readers {
+		for !n.front.watchesSince(firstAt) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	silentAt := time.Now()
+	if trouble {
+		for _, n := range d.nodes {
+			n.front.proxy.silence()
+		}
+		d.record.add("all open connections to the store are silent")
+	}
+	ackedAt := d.publish(append([]route{{"r-move", "/move/", "safe", vault}}, baseRoutes...))
+	inTouchAt := silentAt.Add(stabilityWindow)
+	var mu sync.Mutex
+	late := 0
+	var wg sync.WaitGroup
+	for _, n := range d.nodes {
+		wg.Go(func() {
+			c := newClient(d.record, n)
+			for time.Since(ackedAt) < probesFor {
+				a := c.send("GET", "/move/x", "")
+				since := a.sentAt.Sub(ackedAt)
+				if since > configApply && a.sentAt.After(inTouchAt) && strings.HasPrefix(a.body, desk) {
+					mu.Lock()
+					late++
+					mu.Unlock()
+					d.record.add("VIOLATION: %s sent to %s %.3f s after the acknowledgement and %.3f s after the disruption was run by the old service", a.attempt, n.name, since.Seconds(), a.sentAt.Sub(silentAt).Seconds())
+				}
+				time.Sleep(probeEvery)
+			}
+		})
+	}
+	wg.Wait()
+	return late, nil
+}
+
 // runCutWatch cuts the waiting watch of one node. At that time an upstream leaves
 // that does not report that it drains: its entry is removed.
 func runCutWatch(d *deployment, trouble bool) (int, error) {
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -50,6 +50,8 @@
 	node     string
 	server   *http.Server
 	listener net.Listener
+	// proxy stands between the node and the listener.
+	proxy *proxy
 
 	mu sync.Mutex
 	// waiting is the number of watches that wait, the last of which began at
@@ -78,6 +80,9 @@
 	mux.HandleFunc("GET /kv-range", f.list)
 	mux.HandleFunc("GET /kv-watch", f.watch)
 	f.server = &http.Server{Handler: f.rejectOr(mux)}
+	if f.proxy, err = newProxy(l.Addr().String()); err != nil {
+		return nil, err
+	}
 	go f.run()
 	s.fronts = append(s.fronts, f)
 	return f, nil
@@ -109,10 +114,11 @@
 
 func (f *front) run() { _ = f.server.Serve(f.listener) }
 
-func (f *front) url() string { return "http://" + f.listener.Addr().String() }
+func (f *front) url() string { return "http://" + f.proxy.listener.Addr().String() }
 
 func (s *store) close() {
 	for _, f := range s.fronts {
+		f.proxy.close()
 		_ = f.server.Close()
 	}
 }
@@ -271,6 +277,13 @@
 	return f.waiting > 0 && time.Since(f.waitingSince) > d
 }
 
+// watchesSince reports whether a watch waits that began after a time.
+func (f *front) watchesSince(t time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.waiting > 0 && f.waitingSince.After(t)
+}
+
 // cut cuts the watches that wait.
 func (f *front) cut() {
 	f.mu.Lock()
