--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -71,8 +73,25 @@
 		return 0, err
 	}
 	defer d.close()
-	if err := d.start(); err != nil {
-		return 0, err
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, os.Interrupt, syscall.SIGTERM)
+	type outcome struct {
+		violations int
+		err        error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		if err := d.start(); err != nil {
+			done <- outcome{err: err}
+			return
+		}
+		violations, err := scenario(d, trouble)
+		done <- outcome{violations, err}
+	}()
+	select {
+	case o := <-done:
+		return o.violations, o.err
+	case s := <-interrupts:
+		return 0, errNotRun{"interrupted by " + s.String()}
 	}
-	return scenario(d, trouble)
 }
--- a/review/harness/scenarios.go
+++ b/review/harness/scenarios.go
@@ -235,7 +235,7 @@
 	const (
 		cuts        = 2
 		cutInterval = 60 * time.Millisecond
-		sendEvery   = 25 * time.Millisecond
+		sendEvery   = 5 * time.Millisecond
 		after       = 4 * time.Second
 		waited      = 1900 * time.Millisecond
 		calmTime    = 25 * time.Second
