--- a/review/harness/proxy.go
+++ b/review/harness/proxy.go
@@ -14,6 +14,8 @@
 
 	mu    sync.Mutex
 	conns []*proxyConn
+	// cutOff is set while nothing passes, not on new connections either.
+	cutOff bool
 }
 
 // proxyConn is one forwarded connection.
@@ -39,6 +41,10 @@
 		if err != nil {
 			return
 		}
+		if p.isCutOff() {
+			go func() { _, _ = io.Copy(io.Discard, client) }()
+			continue
+		}
 		server, err := net.Dial("tcp", p.target)
 		if err != nil {
 			_ = client.Close()
@@ -90,4 +96,18 @@
 	return n
 }
 
+// cut lets nothing pass from now on, as behind a silent partition.
+func (p *proxy) cut() {
+	p.mu.Lock()
+	p.cutOff = true
+	p.mu.Unlock()
+	p.silence()
+}
+
+func (p *proxy) isCutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cutOff
+}
+
 func (p *proxy) close() { _ = p.listener.Close() }
--- a/review/harness/scenarios.go
+++ b/review/harness/scenarios.go
@@ -120,37 +120,31 @@
 	return violations, nil
 }
 
-// runReaders lets the store turn away the nodes that watch it, while it serves all
-// others and the operator, and changes the configuration meanwhile.
+// runReaders cuts the links to the store of the nodes that watch it, and changes the
+// configuration meanwhile. The store itself and all other links are untouched.
 func runReaders(d *deployment, trouble bool) (int, error) {
 	const (
-		rejectTime   = 9 * time.Second
 		probeEvery   = 100 * time.Millisecond
 		probesFor    = 6 * time.Second
-		maxRejected  = 3 // 0.33 of 11 machines
+		maxCut       = 3 // 0.27 of 11 machines
 		betweenSteps = 300 * time.Millisecond
 	)
 	readers := d.readers()
 	for _, n := range readers {
 		d.record.add("%s watches the store", n.name)
 	}
-	if len(readers) == 0 || len(readers) > maxRejected {
+	if len(readers) == 0 || len(readers) > maxCut {
 		return 0, errNotRun{"unexpected number of nodes that watch the store"}
 	}
-	rejected := map[*node]bool{}
+	cutOff := map[*node]bool{}
 	d.publish(append([]route{{"r-move", "/move/", "safe", desk}}, baseRoutes...))
 	time.Sleep(betweenSteps)
 	if trouble {
 		for _, n := range readers {
-			rejected[n] = true
-			n.front.setRejecting(true)
+			cutOff[n] = true
+			n.front.proxy.cut()
 		}
-		d.record.add("the store turns %d of %d nodes away", len(readers), len(d.nodes))
-		time.AfterFunc(rejectTime, func() {
-			for _, n := range readers {
-				n.front.setRejecting(false)
-			}
-		})
+		d.record.add("%d of %d nodes are cut from the store", len(readers), len(d.nodes))
 	}
 	time.Sleep(betweenSteps)
 	ackedAt := d.publish(append([]route{{"r-move", "/move/", "safe", vault}}, baseRoutes...))
@@ -158,7 +152,7 @@
 	late := 0
 	var wg sync.WaitGroup
 	for _, n := range d.nodes {
-		if rejected[n] {
+		if cutOff[n] {
 			continue
 		}
 		wg.Go(func() {
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -58,8 +58,6 @@
 	// waitingSince.
 	waiting      int
 	waitingSince time.Time
-	// rejecting is set while the store turns the node away.
-	rejecting bool
 	// cutWatches is closed and replaced when the waiting watches are cut.
 	cutWatches chan struct{}
 }
@@ -79,7 +77,7 @@
 	mux.HandleFunc("GET /kv-key", f.key)
 	mux.HandleFunc("GET /kv-range", f.list)
 	mux.HandleFunc("GET /kv-watch", f.watch)
-	f.server = &http.Server{Handler: f.rejectOr(mux)}
+	f.server = &http.Server{Handler: mux}
 	if f.proxy, err = newProxy(l.Addr().String()); err != nil {
 		return nil, err
 	}
@@ -88,30 +86,6 @@
 	return f, nil
 }
 
-// rejectOr answers 503 while the store turns the node away.
-func (f *front) rejectOr(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		f.mu.Lock()
-		rejecting := f.rejecting
-		f.mu.Unlock()
-		if rejecting {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// setRejecting begins or ends to turn the node away. Watches that wait are cut.
-func (f *front) setRejecting(rejecting bool) {
-	f.mu.Lock()
-	f.rejecting = rejecting
-	f.mu.Unlock()
-	if rejecting {
-		f.cut()
-	}
-}
-
 func (f *front) run() { _ = f.server.Serve(f.listener) }
 
 func (f *front) url() string { return "http://" + f.proxy.listener.Addr().String() }
