Match the prefixes of the users' platform with their last slash

What callers saw: nothing, they got 200.

Cause: route.Match compared complete segments, as inventories want it, and so removed the last slash of a prefix. On the platform the longest prefix that begins the path selects the route; /file/drafts/ does not begin /file/drafts. The unsafe request was taken for idempotent.

Inventories are matched as before, TestMatch is unchanged.

--- a/config.go
+++ b/config.go
@@ -154,8 +154,12 @@
 	// Host is matched exactly, in lower case and without a port. An empty host
 	// matches all.
 	Host string `json:"host,omitempty" yaml:"host"`
-	// PathPrefix is matched by complete path segments.
+	// PathPrefix is matched by complete path segments, or character by character
+	// if LiteralPrefix is set.
 	PathPrefix string `json:"pathPrefix" yaml:"pathPrefix"`
+	// LiteralPrefix is set if a matching path has to begin with PathPrefix, so that
+	// /a/ matches /a/b but not /a. No inventory sets it.
+	LiteralPrefix bool `json:"-" yaml:"-"`
 	// Methods lists the matched HTTP methods. An empty list matches all.
 	Methods []string `json:"methods,omitempty" yaml:"methods"`
 	Service string   `json:"service,omitempty" yaml:"service"`
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -22,7 +22,7 @@
 // firstMatch returns the first route that matches the path and the method.
 func firstMatch(routes []*vanillabarrow.Route, path, method string) *vanillabarrow.Route {
 	for _, r := range routes {
-		if !hasSegmentPrefix(path, r.PathPrefix) {
+		if !matchesPath(r, path) {
 			continue
 		}
 		if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
@@ -32,12 +32,18 @@
 	return nil
 }
 
-// hasSegmentPrefix reports whether the path, without its query, begins with the
-// complete path segments of the prefix.
-func hasSegmentPrefix(path, prefix string) bool {
-	if i := strings.IndexByte(path, '?'); i >= 0 {
-		path = path[:i]
+// matchesPath reports whether the path, without its query, has the route's prefix.
+func matchesPath(r *vanillabarrow.Route, path string) bool {
+	path, _, _ = strings.Cut(path, "?")
+	if r.LiteralPrefix {
+		return strings.HasPrefix(path, r.PathPrefix)
 	}
+	return hasSegmentPrefix(path, r.PathPrefix)
+}
+
+// hasSegmentPrefix reports whether the path begins with the complete path segments
+// of the prefix.
+func hasSegmentPrefix(path, prefix string) bool {
 	prefix = strings.TrimSuffix(prefix, "/")
 	rest, ok := strings.CutPrefix(path, prefix)
 	return ok && (rest == "" || rest[0] == '/')
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -40,6 +40,41 @@
 	require.Nil(t, Match(&vanillabarrow.Snapshot{}, "", "/", "GET"))
 }
 
+// TestLiteralPrefixKeepsItsSlash guards against a path without its last slash that
+// takes a longer route, whose requests may be repeated or go to another service.
+func TestLiteralPrefixKeepsItsSlash(t *testing.T) {
+	literal := func(prefix string) *vanillabarrow.Route {
+		return &vanillabarrow.Route{Name: prefix, PathPrefix: prefix, LiteralPrefix: true}
+	}
+	s := &vanillabarrow.Snapshot{Routes: map[string][]*vanillabarrow.Route{
+		"": {literal("/file/drafts/"), literal("/files/"), literal("/file/")},
+	}}
+	tests := map[string]struct {
+		path string
+		want string
+	}{
+		"prefix itself":                 {"/file/drafts/", "/file/drafts/"},
+		"below the prefix":              {"/file/drafts/7", "/file/drafts/"},
+		"longer prefix without slash":   {"/file/drafts", "/file/"},
+		"with a query":                  {"/file/drafts?x=/", "/file/"},
+		"slash in the query only":       {"/file?/", ""},
+		"segment with another ending":   {"/file/drafts2", "/file/"},
+		"only prefix without its slash": {"/file", ""},
+		"encoded slash":                 {"/file/drafts%2F7", "/file/"},
+		"two slashes":                   {"/file//drafts/", "/file/"},
+		"leading slashes":               {"//file/", ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := ""
+			if r := Match(s, "", tt.path, "POST"); r != nil {
+				got = r.Name
+			}
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
+
 func TestDistance(t *testing.T) {
 	s := &vanillabarrow.Snapshot{
 		DataCentres: map[string]*vanillabarrow.DataCentre{"a": {Region: "r"}, "b": {Region: "r"}, "c": {Region: "q"}},
