Keep the request target as the caller sent it

What callers saw: a path with characters that are usually escaped ran with another path (/a|b as /a%7Cb, /a#x as /a%23x); a request target in absolute form without a path got 404; a request whose path is that of a control call, such as /vanillabarrow.control.v1.Fence/Ask, got 502.

Cause: entry node and gate took the path from the parsed URL, which net/http escapes again, and the peer listener looked at the path before it looked at the header fields that make a request a forwarded attempt.

Change: message.RequestTarget returns the target as it was received, and message.URL sends it so. Attempts are routed by their header field.

Evidence: before the change TestRequestTargetIsKept failed for 'not encoded', 'number sign' and 'no path', TestPathReachesTheGateUnchanged for 'not encoded', 'number sign' and 'path of a control call'; both pass now.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -153,7 +153,8 @@
 // function has to be called after an error, too.
 func (s *Server) readRequest(r *http.Request, info *requestInfo, bufferLimit int64) (*vanillabarrow.Request, context.Context, context.CancelFunc, error) {
 	ctx, cancel := context.WithCancel(r.Context())
-	if r.Method == http.MethodConnect || !strings.HasPrefix(r.URL.Path, "/") {
+	target := message.RequestTarget(r)
+	if r.Method == http.MethodConnect || !strings.HasPrefix(target, "/") {
 		return nil, ctx, cancel, invalidRequest(vanillabarrow.ReasonNoRoute, "the request target is not a path")
 	}
 	snapshot := s.Configuration.Snapshot()
@@ -162,7 +163,7 @@
 		refusal.RetryAfter = time.Second
 		return nil, ctx, cancel, refusal
 	}
-	matched := route.Match(snapshot, r.Host, r.URL.EscapedPath(), r.Method)
+	matched := route.Match(snapshot, r.Host, target, r.Method)
 	if matched == nil {
 		return nil, ctx, cancel, invalidRequest(vanillabarrow.ReasonNoRoute, "no route matches the request")
 	}
@@ -189,7 +190,7 @@
 		Service:     service.Name,
 		Method:      r.Method,
 		Host:        r.Host,
-		Path:        r.URL.RequestURI(),
+		Path:        message.RequestTarget(r),
 		Header:      vanillabarrow.Header(message.EndToEndHeader(r.Header)),
 		Size:        r.ContentLength,
 		Idempotent:  route.IsIdempotent(matched, service, r.Method),
--- a/internal/message/header.go
+++ b/internal/message/header.go
@@ -46,13 +46,27 @@
 	}
 }
 
-// URL returns the URL of an HTTP request target at an address. A request target
-// that begins with two slashes is a path, not an authority.
+// RequestTarget returns the path and the query of a received request as they were
+// sent.
+func RequestTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// URL returns the URL of an HTTP request target at an address, which net/http sends
+// as it is. A request target that begins with two slashes is a path, not an
+// authority.
 func URL(address, target string) (*url.URL, error) {
 	u, err := url.ParseRequestURI(target)
 	if err != nil {
 		return nil, err
 	}
 	u.Scheme, u.Host = "http", address
+	// An opaque URL that begins with two slashes would be sent in absolute form.
+	if u.RequestURI() != target && !strings.HasPrefix(target, "//") {
+		u.Opaque, u.RawQuery, u.ForceQuery = target, "", false
+	}
 	return u, nil
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -48,6 +48,8 @@
 // Handler returns the handler of the peer listener.
 func (s *Server) Handler(distribution DistributionService) http.Handler {
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	// An attempt may have any path, also that of a control call.
+	router.Headers(headerAttempt, "").HandlerFunc(s.handleAttempt)
 	path, handler := distribution.Mount()
 	router.PathPrefix(path).Handler(handler)
 	path, handler = controlv1connect.NewFenceHandler(s, uncompressed...)
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -12,6 +12,7 @@
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/message"
 )
 
 // Header fields of forwarded attempts and their responses. docs/PROTOCOL.md
@@ -161,7 +162,7 @@
 			Service:     h.Get(headerService),
 			Method:      r.Method,
 			Host:        r.Host,
-			Path:        r.URL.RequestURI(),
+			Path:        message.RequestTarget(r),
 			Key:         h.Get(headerKey),
 			Idempotent:  h.Get(headerIdempotent) == "1",
 			Depth:       numbers[1],
