Derive the timers of discovery from the deployment's bounds

Cause: a node called the store itself only when the last confirmation of its data was older than 3.5 s, a figure derived from the readers' watches of 2.5 s. It looked at the age every 0.5 s, learned of confirmations with heartbeats, and waited up to 1 s more by its rank.

Changed checks: TestIdleStoreCalls allowed a reader 15 calls in 30 s, which is what watches of 2.5 s need; it now allows what watches of the derived wait need, with the same reserve of three. A standby reader reads for 20 s in place of 15, because TestStandbyReadersKeepReading covers 18.6 s and the standby begins two seconds earlier.

--- /dev/null
+++ b/bounds.go
@@ -0,0 +1,22 @@
+package vanillabarrow
+
+import "time"
+
+// Bounds holds the times within which a deployment promises its effects. Timers that
+// such a promise depends on are derived from them.
+type Bounds struct {
+	// ConfigApply is the time from the platform's acknowledgement of a change until
+	// it is in force at every node that reaches the platform.
+	ConfigApply time.Duration `yaml:"configApply"`
+	// Drain is the time from the acknowledged removal of a target until it gets no
+	// more requests.
+	Drain time.Duration `yaml:"drain"`
+	// StabilityWindow is the time after a disruption of a node or its connections
+	// from which on the other bounds hold again.
+	StabilityWindow time.Duration `yaml:"stabilityWindow"`
+}
+
+// DefaultBounds returns the bounds of a deployment that states none.
+func DefaultBounds() Bounds {
+	return Bounds{ConfigApply: 2 * time.Second, Drain: 2 * time.Second, StabilityWindow: 3 * time.Second}
+}
--- a/internal/discovery/fakes_test.go
+++ b/internal/discovery/fakes_test.go
@@ -28,15 +28,40 @@
 	mu          *sync.Mutex
 	store       *fakeStore
 	unavailable bool
-	calls       int
+	// silent makes calls fail only when their client gives up.
+	silent bool
+	calls  int
+	// calledAt holds the times of the calls that reached the store.
+	calledAt []time.Time
 	// historyLost makes the next watch fail with ErrHistoryLost.
 	historyLost bool
 }
 
-func (s *fakeSource) List(context.Context) (*vanillabarrow.Delta, error) {
+// silentCallTime is how long a client waits for a response beyond the wait that it
+// requested.
+const silentCallTime = 1500 * time.Millisecond
+
+// count notes a call with the lock held.
+func (s *fakeSource) count() {
+	s.calls++
+	s.calledAt = append(s.calledAt, time.Now())
+}
+
+// isSilent reports whether calls get no response.
+func (s *fakeSource) isSilent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
+	return s.silent
+}
+
+func (s *fakeSource) List(ctx context.Context) (*vanillabarrow.Delta, error) {
+	if s.isSilent() {
+		sleep.For(ctx, silentCallTime)
+		return nil, errUnavailable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count()
 	if s.unavailable {
 		return nil, errUnavailable
 	}
@@ -45,10 +70,14 @@
 
 func (s *fakeSource) Watch(ctx context.Context, after vanillabarrow.Version, wait time.Duration) (*vanillabarrow.Delta, error) {
 	for range 1 + wait/(100*time.Millisecond) {
+		if s.isSilent() {
+			sleep.For(ctx, wait+silentCallTime)
+			return nil, errUnavailable
+		}
 		s.mu.Lock()
 		if s.unavailable || s.historyLost {
 			defer s.mu.Unlock()
-			s.calls++
+			s.count()
 			if s.historyLost {
 				s.historyLost = false
 				return nil, vanillabarrow.ErrHistoryLost
@@ -57,7 +86,7 @@
 		}
 		if s.store.revision > after {
 			defer s.mu.Unlock()
-			s.calls++
+			s.count()
 			return s.store.delta(after, false), nil
 		}
 		s.mu.Unlock()
@@ -67,7 +96,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
+	s.count()
 	return &vanillabarrow.Delta{AsOf: after}, nil
 }
 
@@ -106,8 +135,10 @@
 	// uplinks holds the links over which nodes send, by address. A node without
 	// one sends in no time.
 	uplinks map[string]*slowLink
-	// mu protects cancels.
+	// mu protects cancels and silent.
 	mu sync.Mutex
+	// silent holds the nodes whose messages don't arrive any more.
+	silent map[string]bool
 	// cancels ends the streams opened so far.
 	cancels []context.CancelFunc
 }
@@ -142,6 +173,10 @@
 
 // transmit waits until the sender's uplink has carried the delta.
 func (f *fakeRelay) transmit(ctx context.Context, sender string, d *vanillabarrow.Delta) error {
+	if f.isSilent(sender) {
+		sleep.For(ctx, HeartbeatTimeout)
+		return errUnavailable
+	}
 	uplink := f.uplinks[sender]
 	if uplink == nil {
 		return nil
@@ -149,6 +184,22 @@
 	return uplink.send(ctx, d.Size())
 }
 
+func (f *fakeRelay) isSilent(sender string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent[sender]
+}
+
+// silence keeps all messages of a node from arriving from now on.
+func (f *fakeRelay) silence(sender string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent == nil {
+		f.silent = map[string]bool{}
+	}
+	f.silent[sender] = true
+}
+
 // disconnect ends all streams.
 func (f *fakeRelay) disconnect() {
 	f.mu.Lock()
@@ -208,9 +259,9 @@
 		n := &node{source: &fakeSource{mu: mu, store: s}, pool: kernel.NewPool(kernel.DefaultPoolConfig(), logger)}
 		n.follower = NewFollower(Config{
 			Table: table, Members: membership.New(vm, vm[:1], 1), Source: n.source, Compiler: fakeCompiler{vms: vms}, Relay: relay,
-			Pool: n.pool, Logger: logger, Scope: tally.NoopScope, SelfAddress: vm, FleetSize: len(vms), ReadBudget: 100,
+			Pool: n.pool, Logger: logger, Scope: tally.NoopScope, SelfAddress: vm, FleetSize: len(vms), ReadBudget: max(100, 10*len(vms)),
 		})
-		relay.servers[vm] = NewServer(table, logger, tally.NoopScope)
+		relay.servers[vm] = NewServer(table, vanillabarrow.DefaultBounds(), logger, tally.NoopScope)
 		nodes[vm] = n
 	}
 	for _, n := range nodes {
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"sync/atomic"
@@ -32,13 +33,10 @@
 	// outageThreshold is the time without a successful call to the platform
 	// that counts as an outage.
 	outageThreshold = 1500 * time.Millisecond
-	// watchWait is how long a watch waits for a change. It is short, so that a
-	// watch on a dead connection is noticed within the bound on configuration
-	// changes. recoveryWatchWait is the wait of the first watch after a
-	// failure, which shows immediately whether the platform responds again, and
-	// of the first one of a node that begins to read, whose followers have no
-	// recent data until it is confirmed.
-	watchWait         = 2500 * time.Millisecond
+	// recoveryWatchWait is the wait of the first watch after a failure, which
+	// shows immediately whether the platform responds again, and of the first
+	// one of a node that begins to read, whose followers have no recent data
+	// until it is confirmed.
 	recoveryWatchWait = time.Millisecond
 	// coalesceDelay is the wait after a change before the next watch, so that a
 	// burst of changes takes few calls.
@@ -46,20 +44,11 @@
 	// backoffBase and backoffMax bound the delay after a failed call.
 	backoffBase = 100 * time.Millisecond
 	backoffMax  = 800 * time.Millisecond
-	// staleAfter is the age of the platform's last confirmation after which a
-	// node that is not a reader calls the platform itself. It is longer than
-	// the 2.5 s for which a reader's watch waits.
-	staleAfter = 3500 * time.Millisecond
 	// standbyReadPeriod is how long a standby reader keeps reading the platform
 	// after its data was last stale. While the platform rejects the readers,
 	// its own calls keep its data fresh, so the age does not show whether the
 	// readers work again.
-	standbyReadPeriod = 15 * time.Second
-	// standbyRankDelay is the additional wait per rank before a node with stale
-	// data calls the platform itself, and standbyMaxDelay its maximum, so that
-	// calls by the first ranks make those of later ranks unnecessary.
-	standbyRankDelay = 20 * time.Millisecond
-	standbyMaxDelay  = time.Second
+	standbyReadPeriod = 20 * time.Second
 	// roleCheckInterval is how often a node checks whether it should read the
 	// platform.
 	roleCheckInterval = 500 * time.Millisecond
@@ -97,6 +86,8 @@
 	// ReadBudget is the number of platform reads per second allowed to all
 	// nodes together.
 	ReadBudget int
+	// Bounds are the deployment's. DefaultBounds are used if they are zero.
+	Bounds vanillabarrow.Bounds
 }
 
 // Follower implements vanillabarrow.Rollout with the items of the platform's
@@ -104,6 +95,7 @@
 // through other nodes.
 type Follower struct {
 	Config
+	timers      timers
 	readLimiter *relay.ReadLimiter
 	snapshot    atomic.Pointer[vanillabarrow.Snapshot]
 	// changed is closed and replaced when a new snapshot comes into force.
@@ -128,6 +120,7 @@
 	cfg.Scope = cfg.Scope.SubScope("discovery")
 	f := &Follower{
 		Config:      cfg,
+		timers:      newTimers(cmp.Or(cfg.Bounds, vanillabarrow.DefaultBounds())),
 		readLimiter: relay.NewReadLimiter(cfg.ReadBudget),
 		hints:       follow.NewHints(),
 		startedAt:   time.Now(),
@@ -313,7 +306,7 @@
 		return
 	}
 	age := now.Sub(f.Table.ConfirmedAt())
-	if age > staleAfter && now.Sub(f.startedAt) < startupPlatformWait {
+	if age > f.timers.staleAfter && now.Sub(f.startedAt) < startupPlatformWait {
 		return
 	}
 	f.ready.Store(true)
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -75,18 +75,21 @@
 		s := &fakeStore{values: map[string]string{}}
 		s.write("first", false)
 		nodes := startNodes(t, s)
-		time.Sleep(30 * time.Second)
+		defer stopNodes(nodes)
+		const duration = 30 * time.Second
+		time.Sleep(duration)
+		// A node lists once and asks once when it becomes a reader.
+		maxCalls := 3 + int(duration/nodes["a1"].follower.timers.watchWait)
 		callers := 0
 		for _, n := range nodes {
 			n.source.set(func() {
-				require.LessOrEqual(t, n.source.calls, 15)
+				require.LessOrEqual(t, n.source.calls, maxCalls)
 				if n.source.calls > 3 {
 					callers++
 				}
 			})
 		}
 		require.Equal(t, 2, callers, "one reader in each data centre")
-		stopNodes(nodes)
 	})
 }
 
--- a/internal/discovery/hint_test.go
+++ b/internal/discovery/hint_test.go
@@ -40,7 +40,7 @@
 				logger := slog.New(slog.DiscardHandler)
 				f := NewFollower(Config{
 					Table: NewTable("a1"), Members: membership.New("a1", "a", 1), Logger: logger, Scope: tally.NoopScope,
-					Relay: &fakeRelay{servers: map[string]*Server{"peer": NewServer(peer, logger, tally.NoopScope)}},
+					Relay: &fakeRelay{servers: map[string]*Server{"peer": NewServer(peer, vanillabarrow.DefaultBounds(), logger, tally.NoopScope)}},
 				})
 				f.Table.Merge(&vanillabarrow.Delta{AsOf: tt.held, Full: true}, time.Now())
 				if tt.arrives > 0 {
--- a/internal/discovery/parent.go
+++ b/internal/discovery/parent.go
@@ -28,8 +28,8 @@
 var (
 	// errDraining ends the stream of a parent that is shutting down.
 	errDraining = errors.New("parent is draining")
-	// errStale ends the stream of a parent whose data is stale, as is this
-	// node's own.
+	// errStale ends the stream of a parent whose data is stale, unless the
+	// confirmation of this node's own data came from it.
 	errStale = errors.New("parent has no recent data from the platform")
 	// errParentChanged ends the stream of a node that should no longer be
 	// followed.
@@ -118,10 +118,10 @@
 		if d.Draining {
 			return errDraining
 		}
-		if d.SourceAge > staleAfter && f.isStale() {
+		if f.shouldLeave(d) {
 			return errStale
 		}
-		recent = recent || d.SourceAge <= staleAfter
+		recent = recent || d.SourceAge <= f.timers.staleAfter
 		if slot > 0 && !request.AnnounceOnly && f.Table.AsOf() > 0 {
 			return errItemsHeld
 		}
@@ -133,6 +133,17 @@
 	return recent, err
 }
 
+// shouldLeave reports whether another node is to be followed than the one that sent
+// a delta, because that has no recent data: this node has none either, or has it
+// from elsewhere.
+func (f *Follower) shouldLeave(d *vanillabarrow.Delta) bool {
+	if d.SourceAge <= f.timers.staleAfter {
+		return false
+	}
+	age := time.Since(f.Table.ConfirmedAt())
+	return f.isStale() || age < d.SourceAge-f.timers.heartbeatInterval
+}
+
 // handleAnnouncement waits until the announced revision is held, and notes the
 // confirmation that nothing newer exists. If the revision does not arrive in
 // time, it pulls the items from the announcing node.
@@ -212,7 +223,7 @@
 
 // isStale reports whether the platform's last confirmation is older than
 // staleAfter.
-func (f *Follower) isStale() bool { return time.Since(f.Table.ConfirmedAt()) > staleAfter }
+func (f *Follower) isStale() bool { return time.Since(f.Table.ConfirmedAt()) > f.timers.staleAfter }
 
 // rotate returns the list rotated by n. Rotation by rank lets the nodes of a
 // data centre follow different nodes of other data centres.
--- a/internal/discovery/parent_test.go
+++ b/internal/discovery/parent_test.go
@@ -54,7 +54,7 @@
 			Table: NewTable("a1"), Members: members, SelfAddress: "a1",
 			Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
-		f.Table.Merge(&vanillabarrow.Delta{AsOf: 1, Full: true, SourceAge: 2 * staleAfter}, time.Now())
+		f.Table.Merge(&vanillabarrow.Delta{AsOf: 1, Full: true, SourceAge: 2 * f.timers.staleAfter}, time.Now())
 		search := &parentSearch{rejected: map[string]time.Time{}}
 		var first []string
 		for i := range 12 {
--- a/internal/discovery/pass_on_bench_test.go
+++ b/internal/discovery/pass_on_bench_test.go
@@ -28,7 +28,7 @@
 func passOn(b *testing.B, count, followers int) {
 	routes := newRouteTable(count)
 	table := NewTable("sender")
-	server := NewServer(table, slog.New(slog.DiscardHandler), tally.NoopScope)
+	server := NewServer(table, vanillabarrow.DefaultBounds(), slog.New(slog.DiscardHandler), tally.NoopScope)
 	revision := vanillabarrow.Version(0)
 	change := func() {
 		revision++
--- a/internal/discovery/patch_test.go
+++ b/internal/discovery/patch_test.go
@@ -50,7 +50,7 @@
 			if tt.held > 0 {
 				held["routes"] = revisions[tt.held]
 			}
-			server := NewServer(sender, slog.New(slog.DiscardHandler), tally.NoopScope)
+			server := NewServer(sender, vanillabarrow.DefaultBounds(), slog.New(slog.DiscardHandler), tally.NoopScope)
 			d, err := server.Pull(vanillabarrow.ItemRequest{AsOf: tt.held, Held: held.list(), AcceptsPatches: tt.accepts})
 			require.NoError(t, err)
 			require.Len(t, d.Items, 1)
--- a/internal/discovery/plugin.go
+++ b/internal/discovery/plugin.go
@@ -20,7 +20,10 @@
 		Options: fx.Options(
 			fx.Provide(
 				func(id *kernel.Identity) *Table { return NewTable(id.Incarnation) },
-				NewServer, provideFollower,
+				func(t *Table, s settings.Settings, l *slog.Logger, scope tally.Scope) *Server {
+					return NewServer(t, s.Bounds, l, scope)
+				},
+				provideFollower,
 			),
 			follow.Provide[*Follower](),
 			kernel.ProvideState(func(f *Follower) kernel.StateSource {
@@ -64,5 +67,6 @@
 		SelfAddress: p.Listeners.Peer.Addr().String(),
 		FleetSize:   p.Settings.Platform.FleetSize,
 		ReadBudget:  p.Settings.Platform.ReadBudget,
+		Bounds:      p.Settings.Bounds,
 	})
 }
--- a/internal/discovery/server.go
+++ b/internal/discovery/server.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	// heartbeatInterval is the maximum time between two deltas of a stream.
-	heartbeatInterval = 500 * time.Millisecond
+	// maxHeartbeatInterval is the maximum of timers.heartbeatInterval.
+	maxHeartbeatInterval = 500 * time.Millisecond
 	// HeartbeatTimeout is the time without a delta after which a stream counts
 	// as broken.
-	HeartbeatTimeout = 3 * heartbeatInterval
+	HeartbeatTimeout = 3 * maxHeartbeatInterval
 	// maxStreams bounds the streams that a node serves.
 	maxStreams = 64
 	// slowSendTime is the time after which the send of a delta is logged.
@@ -34,6 +34,7 @@
 // Server sends the items of a table to other nodes.
 type Server struct {
 	table        *Table
+	timers       timers
 	logger       *slog.Logger
 	scope        tally.Scope
 	patcher      patcher
@@ -43,9 +44,10 @@
 }
 
 // NewServer returns a server for the items in the table.
-func NewServer(table *Table, logger *slog.Logger, scope tally.Scope) *Server {
+func NewServer(table *Table, bounds vanillabarrow.Bounds, logger *slog.Logger, scope tally.Scope) *Server {
 	return &Server{
 		table:        table,
+		timers:       newTimers(bounds),
 		logger:       logger,
 		scope:        scope.SubScope("discovery"),
 		patcher:      patcher{cache: patch.NewCache()},
@@ -116,9 +118,9 @@
 	return err
 }
 
-// Serve sends a delta immediately and at each change, and an empty one as
-// heartbeat after each heartbeatInterval without a change, until the context
-// ends, send fails or the node drains, which a last delta announces. With
+// Serve sends a delta immediately and at each change, and an empty one when the
+// platform has confirmed the data again or as heartbeat, until the context ends,
+// send fails or the node drains, which a last delta announces. With
 // AnnounceOnly set, deltas carry no items, only the revision up to which the
 // node knows them. The peer is the VM of the node that follows. Serve fails with
 // ErrBusy if too many streams are open.
@@ -128,10 +130,10 @@
 		return ErrBusy
 	}
 	held := s.table.basesOf(r.Held)
-	timer := time.NewTimer(heartbeatInterval)
+	timer := time.NewTimer(s.timers.heartbeatInterval)
 	defer timer.Stop()
 	for {
-		changed := s.table.Changed()
+		changed, confirmedAt := s.table.Changed(), s.table.ConfirmedAt()
 		d, err := s.since(r, held)
 		if err != nil {
 			return err
@@ -143,11 +145,30 @@
 			return nil
 		}
 		r.Cursor = d.Cursor
-		timer.Reset(heartbeatInterval)
+		timer.Reset(s.timers.heartbeatInterval)
+		if err := s.waitForNews(ctx, changed, confirmedAt, timer.C); err != nil {
+			return err
+		}
+	}
+}
+
+// waitForNews waits until the items changed, the platform's confirmation has
+// progressed by heartbeatInterval since confirmedAt, the heartbeat is due or the node
+// drains.
+func (s *Server) waitForNews(ctx context.Context, changed <-chan struct{}, confirmedAt time.Time, heartbeat <-chan time.Time) error {
+	for {
+		confirmed := s.table.Confirmed()
+		if s.table.ConfirmedAt().Sub(confirmedAt) >= s.timers.heartbeatInterval {
+			return nil
+		}
 		select {
+		case <-confirmed:
 		case <-changed:
-		case <-timer.C:
+			return nil
+		case <-heartbeat:
+			return nil
 		case <-s.drainStarted:
+			return nil
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -51,7 +51,7 @@
 		if !should {
 			// Changes up to AsOf came from other nodes.
 			s.after = f.Table.AsOf()
-			sleep.For(ctx, roleCheckInterval)
+			sleep.For(ctx, f.untilRoleCheck(time.Now()))
 			continue
 		}
 		f.readOnce(ctx, s)
@@ -76,10 +76,8 @@
 	if f.Table.AsOf() == 0 || f.Members.View().Reader {
 		return true
 	}
-	view := f.Members.View()
-	wait := min(standbyMaxDelay, time.Duration(max(0, view.Rank))*standbyRankDelay)
-	stale := now.Sub(f.Table.ConfirmedAt()) > staleAfter+wait
-	if stale && view.StandbyReader {
+	stale := !now.Before(f.readsAt())
+	if stale && f.Members.View().StandbyReader {
 		s.standbyUntil = now.Add(standbyReadPeriod)
 	}
 	// Only the platform shows whether the own target's entry expired because
@@ -87,6 +85,17 @@
 	return stale || now.Before(s.standbyUntil) || f.isOwnTargetExpired()
 }
 
+// readsAt returns when a node that is not a reader calls the platform because it
+// got no confirmation from other nodes.
+func (f *Follower) readsAt() time.Time {
+	return f.Table.ConfirmedAt().Add(f.timers.staleAfter + f.timers.readDelay(f.Members.View()))
+}
+
+// untilRoleCheck returns the time until the next check whether to read the platform.
+func (f *Follower) untilRoleCheck(now time.Time) time.Duration {
+	return min(roleCheckInterval, f.readsAt().Sub(now))
+}
+
 // readOnce makes one call to the platform and merges the response. It then
 // waits for coalesceDelay after a change, or with backoff after a failure.
 func (f *Follower) readOnce(ctx context.Context, s *sourceState) {
@@ -120,7 +129,7 @@
 		return f.Source.List(ctx)
 	}
 	f.Scope.Counter("watches").Inc(1)
-	wait := watchWait
+	wait := f.timers.watchWait
 	if s.failures > 0 || s.unconfirmed {
 		wait = recoveryWatchWait
 	}
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -83,6 +83,8 @@
 	listings []listing
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// confirmed is closed and replaced when confirmedAt advances.
+	confirmed chan struct{}
 }
 
 // maxListings is the number of recent full deltas that a table remembers.
@@ -104,6 +106,7 @@
 		incarnation: incarnation,
 		entries:     map[string]*entry{},
 		changed:     make(chan struct{}),
+		confirmed:   make(chan struct{}),
 	}
 }
 
@@ -149,6 +152,8 @@
 func (t *Table) confirm(asOf vanillabarrow.Version, age time.Duration, now time.Time) {
 	if at := now.Add(-age); asOf == t.asOf && at.After(t.confirmedAt) {
 		t.confirmedAt = at
+		close(t.confirmed)
+		t.confirmed = make(chan struct{})
 	}
 }
 
@@ -229,6 +234,14 @@
 	return t.changed
 }
 
+// Confirmed returns a channel that is closed at the next confirmation by the
+// platform.
+func (t *Table) Confirmed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmed
+}
+
 // AsOf returns the revision up to which all items are known, 0 before the first
 // delta.
 func (t *Table) AsOf() vanillabarrow.Version {
--- /dev/null
+++ b/internal/discovery/timers.go
@@ -0,0 +1,57 @@
+package discovery
+
+import (
+	"time"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/membership"
+)
+
+// timers holds the times that the bounds of a deployment depend on. docs/DESIGN.md
+// adds them up for each bound.
+type timers struct {
+	// bound is the shortest bound on the time from a change to its effect.
+	bound time.Duration
+	// watchWait is how long a watch waits for a change. Each response confirms the
+	// data of all nodes that follow the reader.
+	watchWait time.Duration
+	// staleAfter is the age of the platform's last confirmation from which on a node
+	// no longer relies on the nodes that it follows.
+	staleAfter time.Duration
+	// readDelayByRank and readDelayByDepth delay the calls of a node with stale data
+	// by its place in the relay tree, so that the calls of the first nodes make
+	// those of the others unnecessary. maxReadDelay limits their sum.
+	readDelayByRank, readDelayByDepth, maxReadDelay time.Duration
+	// heartbeatInterval is the maximum time between two deltas of a stream, and the
+	// progress of a confirmation that is passed on at once.
+	heartbeatInterval time.Duration
+}
+
+// newTimers derives the timers from the bounds. The readers may be lost right after
+// they confirmed their data and right before a change, so staleAfter, the delay of a
+// call, the call and its relay together have to be shorter than the bounds on the
+// change.
+func newTimers(b vanillabarrow.Bounds) timers {
+	bound := min(b.ConfigApply, b.Drain)
+	return timers{
+		bound:             bound,
+		watchWait:         min(bound/2, b.StabilityWindow/3),
+		staleAfter:        bound * 7 / 10,
+		readDelayByRank:   bound / 100,
+		readDelayByDepth:  bound / 20,
+		maxReadDelay:      bound / 5,
+		heartbeatInterval: min(bound/4, maxHeartbeatInterval),
+	}
+}
+
+// readDelay returns how much longer than staleAfter a node waits before it calls the
+// platform itself. The children of the readers do so one after the other, then those
+// whose parents had no success either.
+func (t timers) readDelay(v membership.View) time.Duration {
+	if v.Rank < 0 {
+		return t.maxReadDelay
+	}
+	rank := min(v.Rank, membership.FanOut)
+	delay := time.Duration(rank)*t.readDelayByRank + time.Duration(max(0, v.Depth-2))*t.readDelayByDepth
+	return min(delay, t.maxReadDelay)
+}
--- a/internal/discovery/tombstone_patch_test.go
+++ b/internal/discovery/tombstone_patch_test.go
@@ -24,7 +24,7 @@
 	sender.Merge(listing, now)
 	sender.Merge(&vanillabarrow.Delta{AsOf: 9, Items: []vanillabarrow.Item{item("routes", string(randomValue(5))+"new", 9)}}, now)
 
-	server := NewServer(sender, slog.New(slog.DiscardHandler), tally.NoopScope)
+	server := NewServer(sender, vanillabarrow.DefaultBounds(), slog.New(slog.DiscardHandler), tally.NoopScope)
 	held := receiver.bases()
 	d, err := server.Pull(vanillabarrow.ItemRequest{AsOf: receiver.AsOf(), Held: held.list(), AcceptsPatches: true})
 	require.NoError(t, err)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -38,9 +38,14 @@
 	// StandbyReader is set for the nodes ranked next after the readers. They
 	// read the platform for some time when the readers have no current values.
 	StandbyReader bool `json:"deputy"`
-	// FleetReaders is the number of readers in all data centres.
-	FleetReaders int    `json:"fleetReaders"`
-	Parents      []Peer `json:"parents"`
+	// Depth is the number of hops from the platform along first parents, 0 for a
+	// node without a rank.
+	Depth int `json:"depth"`
+	// FleetReaders and FleetStandbyReaders are the numbers of readers and of
+	// standby readers in all data centres.
+	FleetReaders        int    `json:"fleetReaders"`
+	FleetStandbyReaders int    `json:"-"`
+	Parents             []Peer `json:"parents"`
 	// PrecedingPeers holds the peers of the data centre with lower ranks, or
 	// all of its live ones if the node has no rank.
 	PrecedingPeers []Peer `json:"-"`
@@ -133,7 +138,9 @@
 	own := Rank(t.dataCentre, byDataCentre[t.dataCentre])
 	v := View{Rank: slices.Index(own, t.vm), Size: len(own), FleetSize: len(t.peers)}
 	for dc, names := range byDataCentre {
-		v.FleetReaders += min(t.readers, len(names))
+		readers := min(t.readers, len(names))
+		v.FleetReaders += readers
+		v.FleetStandbyReaders += min(standbyReaders, len(names)-readers)
 		if dc != t.dataCentre {
 			v.RemoteReaders = append(v.RemoteReaders, t.readersOf(dc, names)...)
 		}
@@ -143,6 +150,7 @@
 		v.PrecedingPeers = t.peersOf(own)
 		return v
 	}
+	v.Depth = Depth(v.Rank, t.readers)
 	v.Reader = v.Rank < t.readers
 	v.StandbyReader = !v.Reader && v.Rank < t.readers+standbyReaders
 	v.PrecedingPeers = t.peersOf(own[:v.Rank])
--- a/internal/peer/slow_link_test.go
+++ b/internal/peer/slow_link_test.go
@@ -62,7 +62,7 @@
 	table.Merge(&vanillabarrow.Delta{AsOf: 3, Full: true, Items: []vanillabarrow.Item{
 		{Key: "routes", Value: []byte(strings.Repeat(rand.Text(), 50)), Revision: 3},
 	}}, time.Now())
-	server := NewDiscoveryServer(discovery.NewServer(table, slog.New(slog.DiscardHandler), tally.NoopScope))
+	server := NewDiscoveryServer(discovery.NewServer(table, vanillabarrow.DefaultBounds(), slog.New(slog.DiscardHandler), tally.NoopScope))
 	return startService(t, server, func(w http.ResponseWriter) http.ResponseWriter { return &slowWriter{w, pieces, delay} })
 }
 
--- a/internal/relay/read_limiter.go
+++ b/internal/relay/read_limiter.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// readerShare is the part of the read budget for all readers together, and
-	// nonReaderShare that for all other nodes. The rest is a reserve.
+	// readerShare is the part of the read budget for all readers together,
+	// standbyShare that for all standby readers, and nonReaderShare that for all
+	// other nodes. The rest is a reserve.
 	readerShare    = 0.5
+	standbyShare   = 0.125
 	nonReaderShare = 0.25
 	// maxReadBurst bounds the reads that a reader may make in one burst. It
 	// lets a reader read a manifest and its parts after a start.
@@ -46,6 +48,10 @@
 		share := total * readerShare / float64(max(1, view.FleetReaders))
 		return share, max(1, min(maxReadBurst, int(share)))
 	}
+	if view.StandbyReader {
+		share := total * standbyShare / float64(max(1, view.FleetStandbyReaders))
+		return share, max(1, min(maxReadBurst, int(share)))
+	}
 	fleet := max(1, fleetSize, view.FleetSize)
 	return total * nonReaderShare / float64(fleet), 1
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,9 @@
 	// DrainTimeout limits the wait for requests in flight at shutdown.
 	DrainTimeout time.Duration `yaml:"drainTimeout"`
 	Log          Log           `yaml:"log"`
+	// Bounds are the times that the deployment promises. Timers are derived from
+	// them.
+	Bounds vanillabarrow.Bounds `yaml:"bounds"`
 }
 
 // Node identifies the node and its target.
@@ -129,6 +132,7 @@
 		Requests:     Requests{MaxHeaderBytes: 64 << 10, MaxBodyBytes: 256 << 20, MaxInFlight: 2048, QueryAfter: 300 * time.Millisecond},
 		DrainTimeout: 30 * time.Second,
 		Log:          Log{Level: "info"},
+		Bounds:       vanillabarrow.DefaultBounds(),
 	}
 }
 
@@ -192,7 +196,10 @@
 			addError(field, "is %d, must be greater than zero", n)
 		}
 	}
-	for field, d := range map[string]time.Duration{"requests.askAfter": s.Requests.QueryAfter, "drainTimeout": s.DrainTimeout} {
+	for field, d := range map[string]time.Duration{
+		"requests.askAfter": s.Requests.QueryAfter, "drainTimeout": s.DrainTimeout,
+		"bounds.configApply": s.Bounds.ConfigApply, "bounds.drain": s.Bounds.Drain, "bounds.stabilityWindow": s.Bounds.StabilityWindow,
+	} {
 		if d <= 0 {
 			addError(field, "is %s, must be greater than zero", d)
 		}
--- a/pkg/cmd/node/run/run.go
+++ b/pkg/cmd/node/run/run.go
@@ -9,9 +9,11 @@
 	"log/slog"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/build"
 	"github.com/vanillabarrow/vanillabarrow/internal/logging"
 	"github.com/vanillabarrow/vanillabarrow/internal/node"
@@ -31,8 +33,8 @@
 	ReadFile func(name string) ([]byte, error)
 
 	SettingsFile string
-	// The following fields, up to LogLevel, override the settings of the file
-	// unless they are empty.
+	// The following fields, up to StabilityWindow, override the settings of the
+	// file unless they are empty.
 	VM              string
 	DataCentre      string
 	Target          string
@@ -41,6 +43,10 @@
 	OperatorAddress string
 	PlatformURL     string
 	LogLevel        string
+	// The bounds of the deployment are durations such as 2s.
+	ConfigApply     string
+	Drain           string
+	StabilityWindow string
 	CheckOnly       bool
 }
 
@@ -58,6 +64,9 @@
 	fs.StringVar(&opts.OperatorAddress, "listen-operator", "", "`address` to listen on for operators")
 	fs.StringVar(&opts.PlatformURL, "platform-url", "", "`URL` of the platform's configuration service")
 	fs.StringVar(&opts.LogLevel, "log-level", "", "log `level`: debug, info, warn or error")
+	fs.StringVar(&opts.ConfigApply, "config-apply", "", "`time` within which a change of the configuration is in force, such as 2s")
+	fs.StringVar(&opts.Drain, "drain", "", "`time` after which a removed target gets no more requests")
+	fs.StringVar(&opts.StabilityWindow, "stability-window", "", "`time` after a disruption from which on the bounds hold again")
 	fs.BoolVar(&opts.CheckOnly, "check", false, "check the settings and exit")
 	return &ffcli.Command{
 		Name:       "run",
@@ -116,12 +125,38 @@
 			*o.into = o.value
 		}
 	}
+	if err := applyBounds(opts, &s.Bounds); err != nil {
+		return settings.Settings{}, err
+	}
 	if err := s.Check(); err != nil {
 		return settings.Settings{}, fmt.Errorf("%s: %w", opts.SettingsFile, err)
 	}
 	return s, nil
 }
 
+// applyBounds applies the flags of the bounds that are not empty.
+func applyBounds(opts *Options, b *vanillabarrow.Bounds) error {
+	for _, o := range []struct {
+		flag  string
+		value string
+		into  *time.Duration
+	}{
+		{"config-apply", opts.ConfigApply, &b.ConfigApply},
+		{"drain", opts.Drain, &b.Drain},
+		{"stability-window", opts.StabilityWindow, &b.StabilityWindow},
+	} {
+		if o.value == "" {
+			continue
+		}
+		d, err := time.ParseDuration(o.value)
+		if err != nil {
+			return cmdutil.FlagErrorf("-%s: %q is not a duration such as 2s", o.flag, o.value)
+		}
+		*o.into = d
+	}
+	return nil
+}
+
 // newLog returns the log of a node.
 func newLog(w io.Writer, level string) *logging.Log {
 	var l slog.Level
@@ -152,7 +187,8 @@
 	logger := log.Logger().With("vm", s.Node.VM)
 	targetRef := s.Node.TargetRef()
 	logger.Info(logging.EventStarting, "version", build.Info(), "profile", s.Profile, "dataCentre", s.Node.DataCentre,
-		"service", s.Node.Service, "target", cmp.Or(targetRef.Name, targetRef.Address), "seeds", len(s.Seeds))
+		"service", s.Node.Service, "target", cmp.Or(targetRef.Name, targetRef.Address), "seeds", len(s.Seeds),
+		"configApply", s.Bounds.ConfigApply, "drain", s.Bounds.Drain, "stabilityWindow", s.Bounds.StabilityWindow)
 	listeners, err := node.Listen(s)
 	if err != nil {
 		return err
