Refuse a request whose body ends after the node has closed

Cause: the caller listener looked at the state of the node only when the head had arrived.

Change: the state is looked at again when the body, up to the buffer, is there. The request is refused as not run, and its connection is announced to close, also if the stop began meanwhile.

Evidence: TestBodyThatEndsAfterCloseIsRefused failed before in both cases 'closed' (200 in place of 503) and passes now.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -92,11 +92,7 @@
 	if info.id == "" {
 		info.id = s.NewID()
 	}
-	if s.draining.Load() && r.ProtoMajor == 1 {
-		w.Header().Set("Connection", "close")
-	}
-	if s.closed.Load() {
-		s.refuse(w, info, vanillabarrow.NotRun(vanillabarrow.ReasonDraining, "the node is shutting down"))
+	if s.refusesWhileClosed(w, r, info) {
 		return
 	}
 	defer s.inFlight.Add(-1)
@@ -114,6 +110,10 @@
 		s.refuse(w, info, vanillabarrow.AsRefusal(err))
 		return
 	}
+	// The node may have closed while the body arrived.
+	if s.refusesWhileClosed(w, r, info) {
+		return
+	}
 	if kernel.IsClientGone(r.Context()) {
 		s.refuse(w, info, vanillabarrow.NotRun(vanillabarrow.ReasonCanceled, "the caller closed its connection before the request was read"))
 		return
@@ -126,6 +126,19 @@
 	s.writeResponse(w, info, response)
 }
 
+// refusesWhileClosed refuses a request if the node is closed, and announces while it
+// drains that the connection will be closed.
+func (s *Server) refusesWhileClosed(w http.ResponseWriter, r *http.Request, info *requestInfo) bool {
+	if s.draining.Load() && r.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
+	if !s.closed.Load() {
+		return false
+	}
+	s.refuse(w, info, vanillabarrow.NotRun(vanillabarrow.ReasonDraining, "the node is shutting down"))
+	return true
+}
+
 // reserveBuffer reserves bytes of bufferBudget for a body and returns their
 // number, which is 0 if the body fits in minBufferBytes, exceeds maxBufferBytes or
 // exceeds the remaining budget. The length is -1 for a chunked body.
