Tell an outage of the platform from calls that were cut

Cause: items that the platform removed during an outage stay in effect for 2.2 s, and a node took the time since its last success for the length of an outage. As a watch waits for long, a cut call counted as one, and the node passed the longer time on to its data centre.

Change: calls count as failing from the cut, or from the beginning of a call that got no response (ErrNoResponse); an outage needs two failures and no confirmation at another node. Only what the first response afterwards reports stays for 2.2 s, later removals for 0.7 of the drain bound at most. A removal that a call learns of without having waited for it counts from the time until which the node had missed nothing. The times follow from the drain bound.

--- a/internal/discovery/fakes_test.go
+++ b/internal/discovery/fakes_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -35,6 +36,55 @@
 	calledAt []time.Time
 	// historyLost makes the next watch fail with ErrHistoryLost.
 	historyLost bool
+	// cuts is the number of calls that are cut before one succeeds.
+	cuts int
+	// silences counts how often the open connections went silent for good.
+	// idleSilent is set while an idle connection is silent.
+	silences   int
+	idleSilent bool
+	// probeSilent is set while the connection of probes is silent.
+	probeSilent bool
+	probes      int
+}
+
+// lateAfter is the time after the requested wait at which a client notices that its
+// connection is silent.
+const lateAfter = 700 * time.Millisecond
+
+// silenceConnections makes the connections silent that are open now, also the idle
+// ones. New ones work.
+func (s *fakeSource) silenceConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silences++
+	s.idleSilent, s.probeSilent = true, true
+}
+
+// beginCall returns the number of silences so far. A call over an idle connection
+// that is silent is repeated over a new one.
+func (s *fakeSource) beginCall(ctx context.Context) int {
+	s.mu.Lock()
+	wasSilent := s.idleSilent
+	s.idleSilent = false
+	s.mu.Unlock()
+	if wasSilent {
+		sleep.For(ctx, lateAfter)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silences
+}
+
+// wentSilent reports whether the connection of a call is silent.
+func (s *fakeSource) wentSilent(silences int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silences == silences {
+		return false
+	}
+	// The call's own connection was the open one.
+	s.idleSilent = false
+	return true
 }
 
 // silentCallTime is how long a client waits for a response beyond the wait that it
@@ -57,7 +107,7 @@
 func (s *fakeSource) List(ctx context.Context) (*vanillabarrow.Delta, error) {
 	if s.isSilent() {
 		sleep.For(ctx, silentCallTime)
-		return nil, errUnavailable
+		return nil, vanillabarrow.ErrNoResponse
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -69,12 +119,23 @@
 }
 
 func (s *fakeSource) Watch(ctx context.Context, after vanillabarrow.Version, wait time.Duration) (*vanillabarrow.Delta, error) {
+	silences, start := s.beginCall(ctx), time.Now()
 	for range 1 + wait/(100*time.Millisecond) {
+		if s.wentSilent(silences) {
+			sleep.For(ctx, time.Until(start.Add(wait+lateAfter)))
+			return nil, cmp.Or(context.Cause(ctx), vanillabarrow.ErrNoResponse)
+		}
 		if s.isSilent() {
 			sleep.For(ctx, wait+silentCallTime)
-			return nil, errUnavailable
+			return nil, cmp.Or(context.Cause(ctx), vanillabarrow.ErrNoResponse)
 		}
 		s.mu.Lock()
+		if s.cuts > 0 {
+			defer s.mu.Unlock()
+			s.count()
+			s.cuts--
+			return nil, errUnavailable
+		}
 		if s.unavailable || s.historyLost {
 			defer s.mu.Unlock()
 			s.count()
@@ -91,7 +152,7 @@
 		}
 		s.mu.Unlock()
 		if !sleep.For(ctx, 100*time.Millisecond) {
-			return nil, ctx.Err()
+			return nil, context.Cause(ctx)
 		}
 	}
 	s.mu.Lock()
@@ -100,6 +161,22 @@
 	return &vanillabarrow.Delta{AsOf: after}, nil
 }
 
+func (s *fakeSource) Probe(ctx context.Context, timeout time.Duration) error {
+	s.mu.Lock()
+	silent, unavailable, probeSilent := s.silent, s.unavailable, s.probeSilent
+	s.probes++
+	s.probeSilent = false
+	s.mu.Unlock()
+	if silent || probeSilent {
+		sleep.For(ctx, timeout)
+		return vanillabarrow.ErrNoResponse
+	}
+	if unavailable {
+		return errUnavailable
+	}
+	return ctx.Err()
+}
+
 func (s *fakeSource) set(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -20,17 +20,11 @@
 )
 
 const (
-	// removalGracePeriod and missingGracePeriod are how long an item stays in
-	// effect after a watch reported its removal or a listing lacked it. They
-	// are limited by the bound on how long a removed target may still get
-	// requests.
-	removalGracePeriod = 800 * time.Millisecond
-	missingGracePeriod = removalGracePeriod
 	// outageGracePeriod is how long after the platform's recovery the items
 	// that it removed during an outage stay in effect: their writers write them
 	// again within two seconds.
 	outageGracePeriod = 2200 * time.Millisecond
-	// outageThreshold is the time without a successful call to the platform
+	// outageThreshold is the time without a response of the platform to any node
 	// that counts as an outage.
 	outageThreshold = 1500 * time.Millisecond
 	// recoveryWatchWait is the wait of the first watch after a failure, which
@@ -117,10 +111,11 @@
 
 // NewFollower returns a follower that does nothing until Start is called.
 func NewFollower(cfg Config) *Follower {
+	cfg.Bounds = cmp.Or(cfg.Bounds, vanillabarrow.DefaultBounds())
 	cfg.Scope = cfg.Scope.SubScope("discovery")
 	f := &Follower{
 		Config:      cfg,
-		timers:      newTimers(cmp.Or(cfg.Bounds, vanillabarrow.DefaultBounds())),
+		timers:      newTimers(cfg.Bounds),
 		readLimiter: relay.NewReadLimiter(cfg.ReadBudget),
 		hints:       follow.NewHints(),
 		startedAt:   time.Now(),
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -19,9 +19,12 @@
 	listedBytes int
 	// unconfirmed is set until the first response since the node began to read.
 	unconfirmed bool
-	// lastSuccessAt is when the platform last responded. Until
-	// outageGraceUntil, removals may be due to an outage of the platform.
-	lastSuccessAt    time.Time
+	// failingSince is from when on the platform may not have responded, if
+	// failures is not 0.
+	failingSince time.Time
+	// outage is set if the platform had responded to no node for outageThreshold at
+	// the last failure. Until outageGraceUntil, removals may be due to it.
+	outage           bool
 	outageGraceUntil time.Time
 	// standbyUntil is until when a node that is not a reader reads the
 	// platform.
@@ -109,8 +112,9 @@
 		f.handleSourceFailure(ctx, s, callStart, err)
 		return
 	}
+	s.outage = s.outage || s.isOutage(now, f.Table.ConfirmedAt())
+	setKeepUntil(d, f.keepRemovedUntil(s, now))
 	f.handleSourceSuccess(s, now)
-	setKeepUntil(d, now, s.outageGraceUntil)
 	s.after = d.AsOf
 	if d.Full {
 		s.listedBytes = d.Size()
@@ -148,7 +152,7 @@
 		f.listNext(s, cause)
 		return
 	}
-	s.failures++
+	s.recordFailure(callStart, time.Now(), f.Table.ConfirmedAt(), err)
 	f.connectivity.recordFailure(callStart)
 	f.Scope.Counter("sourceErrors").Inc(1)
 	if !f.platformUnavailable.Swap(true) {
@@ -159,8 +163,27 @@
 	backoff.Wait(ctx, s.failures)
 }
 
+// recordFailure notes a failed call. A connection that the platform closed shows that
+// it had responded until then, a call without a response shows nothing.
+func (s *sourceState) recordFailure(callStart, now, confirmedAt time.Time, err error) {
+	if s.failures == 0 {
+		s.failingSince = now
+		if errors.Is(err, vanillabarrow.ErrNoResponse) {
+			s.failingSince = callStart
+		}
+	}
+	s.failures++
+	s.outage = s.isOutage(now, confirmedAt)
+}
+
+// isOutage reports whether calls have failed for outageThreshold, and no other node
+// got a response meanwhile. A single call may have failed with its connection.
+func (s *sourceState) isOutage(now, confirmedAt time.Time) bool {
+	return s.failures > 1 && now.Sub(s.failingSince) > outageThreshold && now.Sub(confirmedAt) > outageThreshold
+}
+
 func (f *Follower) handleSourceSuccess(s *sourceState, now time.Time) {
-	if s.failures > 0 && !s.lastSuccessAt.IsZero() && now.Sub(s.lastSuccessAt) > outageThreshold {
+	if s.outage {
 		s.outageGraceUntil = now.Add(outageGracePeriod)
 	}
 	if f.platformUnavailable.Swap(false) {
@@ -168,17 +191,49 @@
 	}
 	f.connectivity.recordSuccess(now)
 	s.failures = 0
+	s.outage = false
 	s.unconfirmed = false
-	s.lastSuccessAt = now
 }
 
-// setKeepUntil sets until when removed items stay in effect: for
-// removalGracePeriod, or until outageGraceUntil if that is later.
-func setKeepUntil(d *vanillabarrow.Delta, now, outageGraceUntil time.Time) {
-	until := now.Add(removalGracePeriod)
-	if outageGraceUntil.After(until) {
-		until = outageGraceUntil
+// keepRemovedUntil returns until when the items stay in effect that a response
+// reports as removed. It is called before the response is noted as a success.
+func (f *Follower) keepRemovedUntil(s *sourceState, now time.Time) time.Time {
+	if s.outage {
+		return now.Add(outageGracePeriod)
+	}
+	until := now.Add(f.timers.removalGrace)
+	if known := f.knownUntil(s); !known.IsZero() {
+		until = earlier(until, known.Add(f.timers.unconfirmedRemovalGrace))
+	}
+	if s.outageGraceUntil.After(until) {
+		until = earlier(s.outageGraceUntil, now.Add(f.timers.lateRemovalGrace))
+	}
+	return until
+}
+
+// knownUntil returns the time until which this node knows that it missed no change. It
+// is zero if it knows none, or has waited for changes all the time.
+func (f *Follower) knownUntil(s *sourceState) time.Time {
+	confirmedAt := f.Table.ConfirmedAt()
+	switch {
+	case s.failures > 0:
+		return earlier(confirmedAt, s.failingSince)
+	case s.unconfirmed:
+		return confirmedAt
+	default:
+		return time.Time{}
 	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// setKeepUntil sets until when removed items stay in effect.
+func setKeepUntil(d *vanillabarrow.Delta, until time.Time) {
 	for i := range d.Items {
 		if d.Items[i].Removed {
 			d.Items[i].KeepUntil = until
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -21,6 +21,10 @@
 // last longer, and every expired target costs trial requests to its gate.
 const expiredRetention = 30 * time.Second
 
+// missingGracePeriod is how long an item that a listing lacks stays in effect if the
+// listing does not state it.
+const missingGracePeriod = 800 * time.Millisecond
+
 // unconfirmedAge is the SourceAge of deltas sent before the platform has
 // confirmed any revision.
 const unconfirmedAge = 24 * time.Hour
--- a/internal/discovery/timers.go
+++ b/internal/discovery/timers.go
@@ -22,6 +22,13 @@
 	// by its place in the relay tree, so that the calls of the first nodes make
 	// those of the others unnecessary. maxReadDelay limits their sum.
 	readDelayByRank, readDelayByDepth, maxReadDelay time.Duration
+	// removalGrace is how long an item stays in effect after a watch reported its
+	// removal or a listing lacked it. lateRemovalGrace is the maximum after an outage
+	// of the platform, for a removal that came later than its end.
+	removalGrace, lateRemovalGrace time.Duration
+	// unconfirmedRemovalGrace is counted from the last confirmation that the item was
+	// there, for a removal that a node learns of by a call that did not wait for it.
+	unconfirmedRemovalGrace time.Duration
 	// heartbeatInterval is the maximum time between two deltas of a stream, and the
 	// progress of a confirmation that is passed on at once.
 	heartbeatInterval time.Duration
@@ -41,6 +48,10 @@
 		readDelayByDepth:  bound / 20,
 		maxReadDelay:      bound / 5,
 		heartbeatInterval: min(bound/4, maxHeartbeatInterval),
+
+		removalGrace:            b.Drain * 2 / 5,
+		lateRemovalGrace:        b.Drain * 7 / 10,
+		unconfirmedRemovalGrace: b.Drain * 17 / 20,
 	}
 }
 
--- a/items.go
+++ b/items.go
@@ -9,6 +9,10 @@
 // the requested revision.
 var ErrHistoryLost = errors.New("history is no longer available")
 
+// ErrNoResponse is returned when the platform did not react at all before a timeout,
+// so that it is not known from when on it had not responded.
+var ErrNoResponse = errors.New("no response")
+
 // ErrResponseIncomplete is returned when the platform began a response but did
 // not complete it.
 var ErrResponseIncomplete = errors.New("response is incomplete")
