Notice silent connections to the platform within the stability window

Cause: a reader noticed a silent watch 0.7 s after its wait of 2.5 s, waited up to 150 ms more, and its next calls could take further idle connections that were silent.

Change: while a watch waits, a read that costs a tenth of a call shows every 0.5 s that the store responds (discovery.probe); it confirms the data of the reader's followers, and a watch whose probe gets no response is abandoned. A watch waits two thirds of the stability window, so that one whose connection alone is silent is replaced in time. After a call without a response the next one follows at once, over a new connection.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -105,6 +105,8 @@
 	// have been logged. Only loopApply uses it.
 	loggedProblems map[string]bool
 	connectivity   connectivity
+	// watch is the watch that waits at the moment, nil for none.
+	watch atomic.Pointer[waitingWatch]
 	// status is shown to operators; it is replaced as a whole.
 	status atomic.Pointer[vanillabarrow.RolloutStatus]
 }
@@ -131,6 +133,7 @@
 func (f *Follower) Start() error {
 	return follow.SubmitJobs(f.Pool, map[string]func(ctx context.Context){
 		"discovery.source": f.loopSource,
+		"discovery.probe":  f.loopProbe,
 		"discovery.first":  func(ctx context.Context) { f.loopParent(ctx, 0) },
 		"discovery.second": func(ctx context.Context) { f.loopParent(ctx, 1) },
 		"discovery.apply":  f.loopApply,
--- a/internal/discovery/large_reads_test.go
+++ b/internal/discovery/large_reads_test.go
@@ -54,6 +54,8 @@
 	return &vanillabarrow.Delta{AsOf: vanillabarrow.Version(len(s.versions)), Items: s.versions[after:]}
 }
 
+func (s *linkSource) Probe(context.Context, time.Duration) error { return nil }
+
 func (s *linkSource) List(ctx context.Context) (*vanillabarrow.Delta, error) {
 	d := s.since(0)
 	d.Items, d.Full = d.Items[len(d.Items)-1:], true
--- a/internal/discovery/large_store_reader_test.go
+++ b/internal/discovery/large_store_reader_test.go
@@ -23,6 +23,8 @@
 	lists    atomic.Int64
 }
 
+func (s *largeStoreSource) Probe(context.Context, time.Duration) error { return nil }
+
 func (s *largeStoreSource) List(ctx context.Context) (*vanillabarrow.Delta, error) {
 	s.lists.Add(1)
 	d := s.since(0)
--- a/internal/discovery/lost_readers_test.go
+++ b/internal/discovery/lost_readers_test.go
@@ -71,6 +71,25 @@
 		time.Sleep(bound / 3)
 	}
 	require.LessOrEqual(t, maxCallsPerSecond(nodes), nodes[inTouch[0]].follower.ReadBudget)
+	if l.lost > 1 {
+		return
+	}
+	since := time.Now()
+	time.Sleep(3 * bound)
+	require.LessOrEqual(t, callersSince(nodes, since), 3*l.dataCentres, "only a reader and two standby readers call the platform")
+}
+
+// callersSince returns the number of nodes that have called the platform since a time.
+func callersSince(nodes map[string]*node, since time.Time) int {
+	callers := 0
+	for _, n := range nodes {
+		n.source.set(func() {
+			if len(n.source.calledAt) > 0 && n.source.calledAt[len(n.source.calledAt)-1].After(since) {
+				callers++
+			}
+		})
+	}
+	return callers
 }
 
 // maxCallsPerSecond returns the number of calls to the platform in the second with
--- /dev/null
+++ b/internal/discovery/probe.go
@@ -0,0 +1,54 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/sleep"
+)
+
+// waitingWatch is a watch that waits for a change.
+type waitingWatch struct {
+	// after is the revision that this node holds and waits for news of.
+	after vanillabarrow.Version
+	// abandon ends the watch.
+	abandon context.CancelCauseFunc
+}
+
+// watchWithProbes watches the platform, while loopProbe checks that it responds.
+func (f *Follower) watchWithProbes(ctx context.Context, after vanillabarrow.Version) (*vanillabarrow.Delta, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	f.watch.Store(&waitingWatch{after: after, abandon: cancel})
+	defer f.watch.Store(nil)
+	return f.Source.Watch(ctx, after, f.timers.watchWait)
+}
+
+// loopProbe probes the platform while a watch waits.
+func (f *Follower) loopProbe(ctx context.Context) {
+	for sleep.For(ctx, f.timers.probeInterval) {
+		if w := f.watch.Load(); w != nil {
+			f.probe(ctx, w)
+		}
+	}
+}
+
+// probe calls the platform during a watch. If it responds, the watch would have
+// returned a change, so the data held is confirmed. Otherwise the watch may be waiting
+// in vain, and is abandoned for a new one.
+func (f *Follower) probe(ctx context.Context, w *waitingWatch) {
+	f.Scope.Counter("probes").Inc(1)
+	start := time.Now()
+	err := f.Source.Probe(ctx, f.timers.probeTimeout)
+	if f.watch.Load() != w {
+		return
+	}
+	if err != nil {
+		w.abandon(fmt.Errorf("probe during a watch: %w", err))
+		return
+	}
+	now := time.Now()
+	f.Table.Confirm(w.after, now.Sub(start), now)
+}
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -133,11 +133,10 @@
 		return f.Source.List(ctx)
 	}
 	f.Scope.Counter("watches").Inc(1)
-	wait := f.timers.watchWait
 	if s.failures > 0 || s.unconfirmed {
-		wait = recoveryWatchWait
+		return f.Source.Watch(ctx, s.after, recoveryWatchWait)
 	}
-	return f.Source.Watch(ctx, s.after, wait)
+	return f.watchWithProbes(ctx, s.after)
 }
 
 func (f *Follower) handleSourceFailure(ctx context.Context, s *sourceState, callStart time.Time, err error) {
@@ -160,6 +159,10 @@
 	}
 	f.listNext(s, cause)
 	f.updateReadiness(time.Now())
+	if s.failures == 1 && errors.Is(err, vanillabarrow.ErrNoResponse) {
+		// The connection may be silent, which a new one shows at once.
+		return
+	}
 	backoff.Wait(ctx, s.failures)
 }
 
@@ -217,6 +220,7 @@
 	confirmedAt := f.Table.ConfirmedAt()
 	switch {
 	case s.failures > 0:
+		// Probes also confirm the data while the watch is silent.
 		return earlier(confirmedAt, s.failingSince)
 	case s.unconfirmed:
 		return confirmedAt
--- a/internal/discovery/timers.go
+++ b/internal/discovery/timers.go
@@ -12,9 +12,12 @@
 type timers struct {
 	// bound is the shortest bound on the time from a change to its effect.
 	bound time.Duration
-	// watchWait is how long a watch waits for a change. Each response confirms the
-	// data of all nodes that follow the reader.
+	// watchWait is how long a watch waits for a change. A watch whose connection
+	// alone is silent is noticed after it.
 	watchWait time.Duration
+	// probeInterval is the time between two probes during a watch, each of which
+	// confirms the data of all nodes that follow the reader. probeTimeout limits one.
+	probeInterval, probeTimeout time.Duration
 	// staleAfter is the age of the platform's last confirmation from which on a node
 	// no longer relies on the nodes that it follows.
 	staleAfter time.Duration
@@ -42,8 +45,10 @@
 	bound := min(b.ConfigApply, b.Drain)
 	return timers{
 		bound:             bound,
-		watchWait:         min(bound/2, b.StabilityWindow/3),
-		staleAfter:        bound * 7 / 10,
+		watchWait:         b.StabilityWindow * 2 / 3,
+		probeInterval:     bound / 4,
+		probeTimeout:      bound * 7 / 20,
+		staleAfter:        bound * 3 / 5,
 		readDelayByRank:   bound / 100,
 		readDelayByDepth:  bound / 20,
 		maxReadDelay:      bound / 5,
