Change a gate's suspension and the detector's time together

Cause: the time of the pause detector's last run and the suspension changed one after the other, so a request that had read the time before could suspend the gate after the detector had resumed it. By the same cause a request that found the detector overdue just before a run in time suspended the gate without the detector noticing.

Change: gate.suspension holds both under a lock with a rank, which requests take only when the detector is overdue; the detector resumes whatever is suspended.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -44,8 +44,6 @@
 	closed   atomic.Bool
 	// leaving is set while the platform publishes the VM as leaving.
 	leaving atomic.Bool
-	// resumed is set while the gate is suspended. Resume closes the channel.
-	resumed atomic.Pointer[chan struct{}]
 	running atomic.Int64
 	start   time.Time
 	// lastHealthy is the time of the target's last successful health check, in
@@ -53,9 +51,7 @@
 	lastHealthy   atomic.Int64
 	servesExpired atomic.Bool
 	lastResponder atomic.Pointer[healthResponder]
-	// lastTick is the time of the pause detector's last run, in nanoseconds since
-	// the start, 0 without a pause detector.
-	lastTick atomic.Int64
+	suspension    *suspension
 }
 
 // Config holds the dependencies of a gate.
@@ -91,6 +87,7 @@
 		logger:        cfg.Logger,
 		connectivity:  cfg.Connectivity,
 		start:         now,
+		suspension:    newSuspension(now),
 	}
 	// No health check has succeeded yet.
 	g.lastHealthy.Store(int64(-healthValidity))
@@ -215,8 +212,8 @@
 // check refuses attempts that must not be queued. It is called again after the
 // wait for a slot.
 func (g *Gate) check(ctx context.Context, attempt *vanillabarrow.Attempt) error {
-	g.suspendIfPaused()
-	if err := g.waitResumed(ctx); err != nil {
+	g.suspension.suspendIfPaused()
+	if err := g.suspension.wait(ctx); err != nil {
 		return err
 	}
 	if ctx.Err() != nil {
--- a/internal/gate/pause.go
+++ b/internal/gate/pause.go
@@ -41,70 +41,25 @@
 // NewPauseDetector returns a pause detector. Its Tick method has to be called
 // every detectorInterval.
 func NewPauseDetector(g *Gate, config ConfigWaiter, logger *slog.Logger) *PauseDetector {
-	d := &PauseDetector{gate: g, config: config, logger: logger}
-	d.recordTick()
-	return d
-}
-
-// recordTick records the time of this run by both clocks. While a machine is
-// suspended the wall clock advances but the monotonic clock does not.
-func (d *PauseDetector) recordTick() {
-	d.lastWallTime = time.Now().Round(0)
-	d.gate.lastTick.Store(int64(max(1, time.Since(d.gate.start))))
+	g.suspension.resume()
+	return &PauseDetector{gate: g, config: config, lastWallTime: time.Now().Round(0), logger: logger}
 }
 
 // Tick detects a pause since the last call. After a pause it waits for the newest
-// configuration and then resumes the gate.
+// configuration and then resumes the gate. While a machine is suspended the wall clock
+// advances but the monotonic clock does not, so both count.
 func (d *PauseDetector) Tick(ctx context.Context) {
-	sinceLastTick := time.Now().Round(0).Sub(d.lastWallTime)
-	if !d.gate.suspendIfPaused() && sinceLastTick < pauseThreshold+detectorInterval {
-		d.recordTick()
+	wallTime := time.Now().Round(0)
+	sinceLastTick := wallTime.Sub(d.lastWallTime)
+	d.lastWallTime = wallTime
+	if sinceLastTick < pauseThreshold+detectorInterval && d.gate.suspension.tick() {
 		return
 	}
-	d.gate.Suspend()
+	d.gate.suspension.suspend()
 	d.logger.Warn(logging.EventPaused, "for", sinceLastTick)
 	d.config.WaitForNewest(ctx, configTimeout)
-	d.recordTick()
-	d.gate.Resume()
-}
-
-// suspendIfPaused suspends the gate if the pause detector is overdue, and reports
-// whether it is. It is also called for each request, as requests may arrive after
-// a pause before the detector runs again.
-func (g *Gate) suspendIfPaused() bool {
-	lastTick := g.lastTick.Load()
-	if lastTick == 0 || time.Since(g.start)-time.Duration(lastTick) < pauseThreshold {
-		return false
-	}
-	g.Suspend()
-	return true
-}
-
-// Suspend makes new requests wait until Resume is called.
-func (g *Gate) Suspend() {
-	ch := make(chan struct{})
-	g.resumed.CompareAndSwap(nil, &ch)
-}
-
-// Resume lets waiting and new requests proceed.
-func (g *Gate) Resume() {
-	if ch := g.resumed.Swap(nil); ch != nil {
-		close(*ch)
-	}
-}
-
-// waitResumed blocks while the gate is suspended.
-func (g *Gate) waitResumed(ctx context.Context) error {
-	ch := g.resumed.Load()
-	if ch == nil {
-		return nil
-	}
-	select {
-	case <-*ch:
-		return nil
-	case <-ctx.Done():
-		return vanillabarrow.NotRun(vanillabarrow.ReasonStaleConfig, "the node was paused and is updating its configuration")
-	}
+	d.lastWallTime = time.Now().Round(0)
+	d.gate.suspension.resume()
 }
 
 // State is the gate's part of the state dump.
--- a/internal/kernel/lock.go
+++ b/internal/kernel/lock.go
@@ -12,6 +12,7 @@
 	RankDiscovery
 	RankMembership
 	RankRelay
+	RankSuspension
 	RankFence
 	RankIdempotency
 	RankLimiter
