Derive the times of a planned stop from the grace period

Cause: leaveNotice (2.5 s) and drainTimeout (2.7 s) of the deploy file were figures for a grace period of 6 s; a deployment with a shorter one would have its requests cut, one with a longer one would end them early.

Evidence: TestStopTimes (2.5 s and 2.7 s at 6 s; together past five sixths of the period, within it with the time to abort what is left), TestBounds.

--- a/bounds.go
+++ b/bounds.go
@@ -14,8 +14,19 @@
 	// StabilityWindow is the time after a disruption of a node or its connections
 	// from which on the other bounds hold again.
 	StabilityWindow time.Duration `yaml:"stabilityWindow"`
+	// GracePeriod is the time from SIGTERM until the process is killed, 0 if it is
+	// not known.
+	GracePeriod time.Duration `yaml:"gracePeriod"`
 }
 
+// LeaveNotice returns the part of the grace period in which requests are still taken.
+func (b Bounds) LeaveNotice() time.Duration { return b.GracePeriod * 5 / 12 }
+
+// DrainTimeout returns the part of the grace period after the leave notice in which
+// the requests that were taken are finished. The rest of the period is left for the end
+// of the process.
+func (b Bounds) DrainTimeout() time.Duration { return b.GracePeriod * 9 / 20 }
+
 // DefaultBounds returns the bounds of a deployment that states none.
 func DefaultBounds() Bounds {
 	return Bounds{ConfigApply: 2 * time.Second, Drain: 2 * time.Second, StabilityWindow: 3 * time.Second}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -148,6 +148,14 @@
 	return s, nil
 }
 
+// ApplyGracePeriod derives the times of a planned stop from the grace period, if that
+// is known.
+func (s *Settings) ApplyGracePeriod() {
+	if s.Bounds.GracePeriod > 0 {
+		s.LeaveNotice, s.DrainTimeout = s.Bounds.LeaveNotice(), s.Bounds.DrainTimeout()
+	}
+}
+
 // Check validates the settings. The error lists all invalid fields.
 func (s Settings) Check() error {
 	var errs []error
@@ -210,6 +218,9 @@
 	if s.Retries.Reserve < 0 {
 		addError("retries.reserve", "is %g, must not be negative", s.Retries.Reserve)
 	}
+	if s.Bounds.GracePeriod < 0 {
+		addError("bounds.gracePeriod", "is %s, must not be negative", s.Bounds.GracePeriod)
+	}
 	if s.LeaveNotice < 0 {
 		addError("leaveNotice", "is %s, must not be negative", s.LeaveNotice)
 	}
--- a/pkg/cmd/node/run/run.go
+++ b/pkg/cmd/node/run/run.go
@@ -33,7 +33,7 @@
 	ReadFile func(name string) ([]byte, error)
 
 	SettingsFile string
-	// The following fields, up to StabilityWindow, override the settings of the
+	// The following fields, up to GracePeriod, override the settings of the
 	// file unless they are empty.
 	VM              string
 	DataCentre      string
@@ -47,6 +47,7 @@
 	ConfigApply     string
 	Drain           string
 	StabilityWindow string
+	GracePeriod     string
 	CheckOnly       bool
 }
 
@@ -67,6 +68,7 @@
 	fs.StringVar(&opts.ConfigApply, "config-apply", "", "`time` within which a change of the configuration is in force, such as 2s")
 	fs.StringVar(&opts.Drain, "drain", "", "`time` after which a removed target gets no more requests")
 	fs.StringVar(&opts.StabilityWindow, "stability-window", "", "`time` after a disruption from which on the bounds hold again")
+	fs.StringVar(&opts.GracePeriod, "grace-period", "", "`time` from SIGTERM until the process is killed")
 	fs.BoolVar(&opts.CheckOnly, "check", false, "check the settings and exit")
 	return &ffcli.Command{
 		Name:       "run",
@@ -128,6 +130,7 @@
 	if err := applyBounds(opts, &s.Bounds); err != nil {
 		return settings.Settings{}, err
 	}
+	s.ApplyGracePeriod()
 	if err := s.Check(); err != nil {
 		return settings.Settings{}, fmt.Errorf("%s: %w", opts.SettingsFile, err)
 	}
@@ -144,6 +147,7 @@
 		{"config-apply", opts.ConfigApply, &b.ConfigApply},
 		{"drain", opts.Drain, &b.Drain},
 		{"stability-window", opts.StabilityWindow, &b.StabilityWindow},
+		{"grace-period", opts.GracePeriod, &b.GracePeriod},
 	} {
 		if o.value == "" {
 			continue
@@ -188,7 +192,8 @@
 	targetRef := s.Node.TargetRef()
 	logger.Info(logging.EventStarting, "version", build.Info(), "profile", s.Profile, "dataCentre", s.Node.DataCentre,
 		"service", s.Node.Service, "target", cmp.Or(targetRef.Name, targetRef.Address), "seeds", len(s.Seeds),
-		"configApply", s.Bounds.ConfigApply, "drain", s.Bounds.Drain, "stabilityWindow", s.Bounds.StabilityWindow)
+		"configApply", s.Bounds.ConfigApply, "drain", s.Bounds.Drain, "stabilityWindow", s.Bounds.StabilityWindow,
+		"leaveNotice", s.LeaveNotice, "drainTimeout", s.DrainTimeout)
 	listeners, err := node.Listen(s)
 	if err != nil {
 		return err
--- a/pkg/cmd/node/run/run_test.go
+++ b/pkg/cmd/node/run/run_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 )
 
 const settingsFile = `node: {vm: vm-1, dataCentre: a, target: t1}
@@ -31,9 +32,14 @@
 			opts: Options{ConfigApply: "1500ms", Drain: "1s", StabilityWindow: "4s"},
 			want: vanillabarrow.Bounds{ConfigApply: 1500 * time.Millisecond, Drain: time.Second, StabilityWindow: 4 * time.Second},
 		},
-		"no duration": {opts: Options{Drain: "2000"}, wantErr: `-drain: "2000" is not a duration such as 2s`},
-		"zero":        {opts: Options{ConfigApply: "0s"}, wantErr: "bounds.configApply: is 0s, must be greater than zero"},
-		"negative":    {opts: Options{StabilityWindow: "-1s"}, wantErr: "bounds.stabilityWindow: is -1s, must be greater than zero"},
+		"grace period": {
+			opts: Options{Drain: "2s", GracePeriod: "6s"},
+			want: vanillabarrow.Bounds{ConfigApply: defaults.ConfigApply, Drain: 2 * time.Second, StabilityWindow: defaults.StabilityWindow, GracePeriod: 6 * time.Second},
+		},
+		"negative grace period": {opts: Options{GracePeriod: "-6s"}, wantErr: "bounds.gracePeriod: is -6s, must not be negative"},
+		"no duration":           {opts: Options{Drain: "2000"}, wantErr: `-drain: "2000" is not a duration such as 2s`},
+		"zero":                  {opts: Options{ConfigApply: "0s"}, wantErr: "bounds.configApply: is 0s, must be greater than zero"},
+		"negative":              {opts: Options{StabilityWindow: "-1s"}, wantErr: "bounds.stabilityWindow: is -1s, must be greater than zero"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -47,3 +53,28 @@
 		})
 	}
 }
+
+// TestStopTimes guards against a planned stop that takes requests which it can't finish
+// before the process is killed, or that does not wait for them long enough.
+func TestStopTimes(t *testing.T) {
+	tests := map[string]struct {
+		gracePeriod               string
+		leaveNotice, drainTimeout time.Duration
+	}{
+		"not known":  {"", time.Second, 30 * time.Second},
+		"six seconds": {"6s", 2500 * time.Millisecond, 2700 * time.Millisecond},
+		"long":       {"60s", 25 * time.Second, 27 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, err := parse(&Options{GracePeriod: tt.gracePeriod}, []byte(settingsFile))
+			require.NoError(t, err)
+			require.Equal(t, tt.leaveNotice, s.LeaveNotice)
+			require.Equal(t, tt.drainTimeout, s.DrainTimeout)
+			if g := s.Bounds.GracePeriod; g > 0 {
+				require.Greater(t, s.LeaveNotice+s.DrainTimeout, g*5/6)
+				require.Less(t, s.LeaveNotice+s.DrainTimeout+kernel.AbortTime, g)
+			}
+		})
+	}
+}
