Forget failed calls to the platform when a node stops reading it

What callers could see: a target that left without reporting it is served on while its health check responds, as its node counts as disconnected.

Cause: only a call of the node's own cleared the time since which its calls fail.

Change: that time is cleared when a node stops reading. If its target's entry expires, it reads again, and knows then.

Evidence: TestNodeThatStopsReadingIsNotDisconnected failed before and passes.

--- a/internal/discovery/connectivity.go
+++ b/internal/discovery/connectivity.go
@@ -43,6 +43,10 @@
 	}
 }
 
+// forget notes that the node makes no more calls, so that it does not know whether the
+// platform responds.
+func (c *connectivity) forget() { c.failingSince.Store(0) }
+
 // isDisconnected reports whether calls have failed for disconnectedAfter, or
 // did so until less than reconnectGracePeriod ago.
 func (c *connectivity) isDisconnected(now time.Time) bool {
--- a/internal/discovery/connectivity_test.go
+++ b/internal/discovery/connectivity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -44,3 +45,27 @@
 		})
 	}
 }
+
+// TestNodeThatStopsReadingIsNotDisconnected guards against a node that gave up failing
+// calls, because other nodes had recent data, and then counts as disconnected for as
+// long as it makes no call, with the consequence that its expired target is served.
+func TestNodeThatStopsReadingIsNotDisconnected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{values: map[string]string{}}
+		s.write("target", false)
+		nodes := startNodes(t, s)
+		defer stopNodes(nodes)
+		time.Sleep(5 * time.Second)
+		setUnavailable := func(unavailable bool, vms ...string) {
+			for _, vm := range vms {
+				nodes[vm].source.set(func() { nodes[vm].source.unavailable = unavailable })
+			}
+		}
+		setUnavailable(true, "a1", "a2", "b1")
+		time.Sleep(3 * time.Second)
+		require.True(t, nodes["a2"].follower.IsDisconnected(time.Now()))
+		setUnavailable(false, "a1", "b1")
+		time.Sleep(standbyReadPeriod + 5*time.Second)
+		require.False(t, nodes["a2"].follower.IsDisconnected(time.Now()))
+	})
+}
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -45,6 +45,9 @@
 			reading = should
 			s.unconfirmed = reading
 			f.logReading(reading)
+			if !reading {
+				f.connectivity.forget()
+			}
 			if reading && f.isOwnTargetExpired() {
 				// A listing returns without delay; a watch waits for
 				// the next change.
