Follow the readers and standby readers first when data is stale

Cause: a node with stale data followed a random other one. A reader that had lost the platform could follow one of its own children, which then followed each other: both stayed stale for 1.2 s, read the platform once, and so on. In 1 of about 25 runs TestChangeIsAppliedWithoutReaders saw 4 to 7 nodes of a data centre call the platform instead of three ('only data centre', 'platform refuses the readers').

Change: a stale node tries its parents, the readers and the standby readers of its data centre before random nodes, each once before one is tried again, also if its stream just broke.

--- a/internal/discovery/parent.go
+++ b/internal/discovery/parent.go
@@ -20,10 +20,6 @@
 	// fallbackPeerCount bounds the nodes chosen at random when the data of this
 	// node is stale.
 	fallbackPeerCount = 4
-	// fallbackRanks is the number of the first ranks that such a node tries before
-	// random ones: the readers and the standby readers, at one reader for each
-	// data centre.
-	fallbackRanks = 3
 	// fallbackParentTime bounds the time with a parent that is not the first
 	// choice, so that the relay tree recovers after a failure.
 	fallbackParentTime = 20 * time.Second
@@ -191,20 +187,22 @@
 }
 
 // fallbackParent returns the address of a node that has not been rejected, or of the
-// one whose rejection is the longest ago, for a node whose data is stale. Those that
-// take the place of the readers come first, so that nodes don't follow each other in a
+// one whose rejection is the longest ago, for a node whose data is stale. Parents,
+// readers and standby readers come first, so that nodes don't follow each other in a
 // circle, then random ones.
 func (f *Follower) fallbackParent(search *parentSearch) string {
 	view := f.Members.View()
-	peers := slices.Concat(view.Parents, view.PrecedingPeers[:min(len(view.PrecedingPeers), fallbackRanks)])
-	addresses := append(membership.Addresses(peers), membership.Addresses(f.Members.RandomPeers(view.FleetSize))...)
-	addresses = f.withoutSelf(addresses)
+	peers := slices.Concat(view.Parents, view.FirstPeers, f.Members.RandomPeers(view.FleetSize))
+	addresses := f.withoutSelf(membership.Addresses(peers))
 	if len(addresses) == 0 {
 		return ""
 	}
-	return slices.MinFunc(addresses, func(a, b string) int {
+	address := slices.MinFunc(addresses, func(a, b string) int {
 		return search.rejected[a].Compare(search.rejected[b])
 	})
+	// Unless its stream brings recent data, the others come first next time.
+	search.rejected[address] = time.Now()
+	return address
 }
 
 // candidates returns the addresses to follow in order of preference. A reader
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -29,44 +29,6 @@
 // confirmed any revision.
 const unconfirmedAge = 24 * time.Hour
 
-// previousValues bounds the older revisions of a large item that are kept as
-// bases for patches.
-const previousValues = 4
-
-// entry is an item with the table's sequence number of its last change.
-type entry struct {
-	item     vanillabarrow.Item
-	sequence uint64
-	// previous holds the older revisions of a large item, newest first.
-	previous []vanillabarrow.Item
-}
-
-// revisionsToKeep returns the previous revisions of the item that replaces the
-// entry's.
-func (e *entry) revisionsToKeep() []vanillabarrow.Item {
-	switch {
-	case e == nil:
-		return nil
-	case !isBase(e.item):
-		return e.previous
-	}
-	kept := append([]vanillabarrow.Item{e.item}, e.previous...)
-	return kept[:min(len(kept), previousValues)]
-}
-
-// revision returns the item at a revision, if it is still kept.
-func (e *entry) revision(revision vanillabarrow.Version) (vanillabarrow.Item, bool) {
-	if e.item.Revision == revision && isBase(e.item) {
-		return e.item, true
-	}
-	for _, item := range e.previous {
-		if item.Revision == revision {
-			return item, true
-		}
-	}
-	return vanillabarrow.Item{}, false
-}
-
 // Table holds the newest known revision of every item.
 type Table struct {
 	mu          *kernel.Mutex
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -49,6 +49,9 @@
 	// PrecedingPeers holds the peers of the data centre with lower ranks, or
 	// all of its live ones if the node has no rank.
 	PrecedingPeers []Peer `json:"-"`
+	// FirstPeers holds the readers and the standby readers of the data centre in the
+	// order of their ranks, this node included.
+	FirstPeers []Peer `json:"-"`
 	// RemoteReaders holds the readers of other data centres, sorted by VM.
 	RemoteReaders []Peer `json:"-"`
 }
@@ -146,6 +149,7 @@
 		}
 	}
 	slices.SortFunc(v.RemoteReaders, func(a, b Peer) int { return compareStrings(a.VM, b.VM) })
+	v.FirstPeers = t.peersOf(own[:min(len(own), t.readers+standbyReaders)])
 	if v.Rank < 0 {
 		v.PrecedingPeers = t.peersOf(own)
 		return v
--- a/pkg/cmd/node/run/run_test.go
+++ b/pkg/cmd/node/run/run_test.go
@@ -61,9 +61,9 @@
 		gracePeriod               string
 		leaveNotice, drainTimeout time.Duration
 	}{
-		"not known":  {"", time.Second, 30 * time.Second},
+		"not known":   {"", time.Second, 30 * time.Second},
 		"six seconds": {"6s", 2500 * time.Millisecond, 2700 * time.Millisecond},
-		"long":       {"60s", 25 * time.Second, 27 * time.Second},
+		"long":        {"60s", 25 * time.Second, 27 * time.Second},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
