--- a/internal/discovery/lost_readers_test.go
+++ b/internal/discovery/lost_readers_test.go
@@ -55,7 +55,7 @@
 	ranked := l.vms()
 	nodes := startFleet(t, s, relay, slices.Concat(ranked...))
 	defer stopNodes(nodes)
-	bound := nodes[ranked[0][0]].follower.timers.bound
+	bound := nodes[ranked[0][0]].follower.Bounds.ConfigApply
 	time.Sleep(6*time.Second + phase)
 	var inTouch []string
 	for _, list := range ranked {
--- a/internal/discovery/removal_test.go
+++ b/internal/discovery/removal_test.go
@@ -99,7 +99,7 @@
 				defer stopNodes(nodes)
 				time.Sleep(6 * time.Second)
 				tt.fail(nodes, func() { nodes["a1"].source.set(func() { s.write("leaves", true) }) })
-				time.Sleep(nodes["a1"].follower.timers.bound - drainMargin)
+				time.Sleep(nodes["a1"].follower.Bounds.Drain - drainMargin)
 				for vm, n := range nodes {
 					if n.source.isSilent() {
 						continue
--- a/internal/discovery/timers.go
+++ b/internal/discovery/timers.go
@@ -10,8 +10,6 @@
 // timers holds the times that the bounds of a deployment depend on. docs/DESIGN.md
 // adds them up for each bound.
 type timers struct {
-	// bound is the shortest bound on the time from a change to its effect.
-	bound time.Duration
 	// watchWait is how long a watch waits for a change. A watch whose connection
 	// alone is silent is noticed after it.
 	watchWait time.Duration
@@ -44,7 +42,6 @@
 func newTimers(b vanillabarrow.Bounds) timers {
 	bound := min(b.ConfigApply, b.Drain)
 	return timers{
-		bound:             bound,
 		watchWait:         b.StabilityWindow * 2 / 3,
 		probeInterval:     bound / 4,
 		probeTimeout:      bound * 7 / 20,
