review: queued requests lost at a planned stop (case 6)

Cause: a node that stops closes the connections of requests that still wait for a slot at the end of its grace period, in place of a refusal as not run.

--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -23,6 +23,7 @@
 	"pipeline": playPipeline,
 	"stop":     playStop,
 	"late":     playLate,
+	"queued":   playQueued,
 }
 
 func main() {
