Deliver responses kept behind a request in flight at a stop

Cause: responses are returned in order, so the node keeps those behind the long read. pipeline.Listener.Stop waited for it until its time was over, and http.Server.Close then dropped what was kept. The request in front was canceled only by that close.

Change: at the drain timeout, which is past five sixths of the grace period, the caller server ends the requests that have no response yet. Their handlers return a refusal (may-have-run unless the attempt was not sent), and the connection writes it and the responses behind it. A response being streamed goes on. abortTimeout (a twentieth of the grace period) is the time for that; what is open after it is cut as before.

Tests of the changed packages pass with the race detector.

--- a/bounds.go
+++ b/bounds.go
@@ -29,10 +29,13 @@
 func (b Bounds) WaitTimeout() time.Duration { return b.GracePeriod / 4 }
 
 // DrainTimeout returns the part of the grace period after the leave notice in which
-// the requests that were taken are finished. The rest of the period is left for the end
-// of the process.
+// the requests that were taken are finished.
 func (b Bounds) DrainTimeout() time.Duration { return b.GracePeriod * 9 / 20 }
 
+// AbortTimeout returns the part of the grace period after the drain timeout in which the
+// last responses are written. The rest of the period is left for the end of the process.
+func (b Bounds) AbortTimeout() time.Duration { return b.GracePeriod / 20 }
+
 // DefaultBounds returns the bounds of a deployment that states none.
 func DefaultBounds() Bounds {
 	return Bounds{ConfigApply: 2 * time.Second, Drain: 2 * time.Second, StabilityWindow: 3 * time.Second}
--- a/internal/caller/plugin.go
+++ b/internal/caller/plugin.go
@@ -23,7 +23,7 @@
 			fx.Provide(provideServer, route.NewSplits),
 			fx.Invoke(serve, startSweep),
 			kernel.ProvideDrainer(func(s *Server) kernel.Drainer {
-				return kernel.Drainer{Name: "caller", Drain: s.Drain, Close: s.Close}
+				return kernel.Drainer{Name: "caller", Drain: s.Drain, Close: s.Close, Abort: s.Abort}
 			}),
 			kernel.ProvideState(func(s *Server) kernel.StateSource {
 				return kernel.StateSource{Name: "caller", State: func() any {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -49,10 +49,17 @@
 	reservedBytes atomic.Int64
 	draining      atomic.Bool
 	closed        atomic.Bool
+	// aborted ends when the requests in flight are to end.
+	aborted context.Context
+	abort   context.CancelFunc
 }
 
 // New returns a server.
-func New(cfg Config) *Server { return &Server{Config: cfg} }
+func New(cfg Config) *Server {
+	s := &Server{Config: cfg}
+	s.aborted, s.abort = context.WithCancel(context.Background())
+	return s
+}
 
 // Drain makes the server ask callers to close their HTTP/1.1 connections, so that
 // they connect to other nodes. Requests are still served.
@@ -62,6 +69,19 @@
 // process exits before they could be served.
 func (s *Server) Close() { s.closed.Store(true) }
 
+// Abort ends the requests that have no response yet, so that they are refused and the
+// responses that wait behind them on their connections are written. Responses being
+// streamed go on.
+func (s *Server) Abort() { s.abort() }
+
+// dispatch sends a request to a target, until the server aborts requests.
+func (s *Server) dispatch(ctx context.Context, request *vanillabarrow.Request) (*vanillabarrow.Response, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(s.aborted, func() { cancel(vanillabarrow.ErrNodeStopping) })
+	defer stop()
+	return s.Dispatcher.Do(ctx, request)
+}
+
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
@@ -142,7 +162,7 @@
 		s.refuse(w, info, vanillabarrow.AsRefusal(err))
 		return
 	}
-	response, err := s.Dispatcher.Do(ctx, request)
+	response, err := s.dispatch(ctx, request)
 	if err != nil {
 		s.refuse(w, info, vanillabarrow.AsRefusal(err))
 		return
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -215,10 +215,14 @@
 
 // contextReason returns the refusal reason for a context that ended.
 func contextReason(ctx context.Context) vanillabarrow.Reason {
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	switch context.Cause(ctx) {
+	case context.DeadlineExceeded:
 		return vanillabarrow.ReasonDeadline
+	case vanillabarrow.ErrNodeStopping:
+		return vanillabarrow.ReasonDraining
+	default:
+		return vanillabarrow.ReasonCanceled
 	}
-	return vanillabarrow.ReasonCanceled
 }
 
 // handleOutcome returns the forwarder's result. If it contains no verdict of
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -88,6 +88,10 @@
 	// Withdraw is called when requests may no longer wait for a slot, while their
 	// callers have time left to send them to other nodes. It may be nil.
 	Withdraw func()
+	// Abort is called when the drain timeout has passed. It ends the requests still in
+	// flight, so that their refusals and the responses behind them can be written
+	// before the listeners close their connections. It may be nil.
+	Abort func()
 }
 
 // ProvideState returns an option that adds the constructor's StateSource to
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -90,7 +90,7 @@
 // Events returns the descriptions of all events by name.
 func Events() map[string]Event {
 	return map[string]Event{
-		EventStarting:               {[]string{"version", "profile", "dataCentre", "service", "target", "seeds", "configApply", "drain", "stabilityWindow", "leaveNotice", "waitTimeout", "drainTimeout"}, "the process starts with these settings"},
+		EventStarting:               {[]string{"version", "profile", "dataCentre", "service", "target", "seeds", "configApply", "drain", "stabilityWindow", "leaveNotice", "waitTimeout", "drainTimeout", "abortTimeout"}, "the process starts with these settings"},
 		EventListening:              {[]string{"listener", "address"}, "a listener accepts connections"},
 		EventReady:                  {[]string{"asOf", "confirmedAge", "version", "peers", "platform"}, "the node accepts requests; confirmedAge is the time since the platform last confirmed the configuration"},
 		EventStopping:               {[]string{"cause"}, "the node begins to shut down"},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,8 +140,9 @@
 // nodes the leave notice to switch to other nodes, and waits for requests in
 // flight. The target gets new requests until the refusal period at the end of
 // the notice. Requests that wait for a slot after the wait timeout are refused.
-// Those still in flight after the drain timeout are aborted, for which the stop takes
-// kernel.AbortTime more.
+// Those still in flight after the drain timeout are refused too, as far as that is
+// proved as not run, and the last responses are written within the abort timeout. What
+// is open then is cut, for which the stop takes kernel.AbortTime more.
 // When ctx ends, the rest of the notice is skipped.
 func (n *Node) Stop(ctx context.Context) error {
 	for _, d := range n.drainers {
@@ -162,9 +163,9 @@
 			d.Close()
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.DrainTimeout+kernel.AbortTime)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.DrainTimeout+n.settings.AbortTimeout+kernel.AbortTime)
 	defer cancel()
-	s := &shutdown{drainers: n.drainers, waitTimeout: n.settings.WaitTimeout}
+	s := &shutdown{drainers: n.drainers, waitTimeout: n.settings.WaitTimeout, drainTimeout: n.settings.DrainTimeout}
 	go s.run(ctx)
 	return n.app.Stop(ctx)
 }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -12,14 +12,15 @@
 // requests are in flight.
 type shutdown struct {
 	drainers []kernel.Drainer
-	// waitTimeout is the time in which requests may wait for a slot.
-	waitTimeout time.Duration
+	// waitTimeout is the time in which requests may wait for a slot, drainTimeout that
+	// in which they may be in flight.
+	waitTimeout, drainTimeout time.Duration
 }
 
 // run calls the drainers until the context ends.
 func (s *shutdown) run(ctx context.Context) {
-	sleep.For(ctx, s.waitTimeout)
-	if ctx.Err() != nil {
+	start := time.Now()
+	if !sleep.For(ctx, s.waitTimeout) {
 		return
 	}
 	for _, d := range s.drainers {
@@ -27,4 +28,12 @@
 			d.Withdraw()
 		}
 	}
+	if !sleep.For(ctx, s.drainTimeout-time.Since(start)) {
+		return
+	}
+	for _, d := range s.drainers {
+		if d.Abort != nil {
+			d.Abort()
+		}
+	}
 }
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -1,9 +1,11 @@
 package node_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -118,3 +120,42 @@
 		})
 	}
 }
+
+// TestStopDeliversKeptResponses guards against responses of targets that are dropped at
+// a stop because they wait behind the response to a request that takes longer.
+func TestStopDeliversKeptResponses(t *testing.T) {
+	for name, kept := range map[string]int{"one": 1, "many": 5} {
+		t.Run(name, func(t *testing.T) {
+			f := startStoppedFleet(t, 100*time.Millisecond, 500*time.Millisecond)
+			conn, err := net.Dial("tcp", strings.TrimPrefix(f.callers["near"], "http://"))
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			require.NoError(t, conn.SetDeadline(time.Now().Add(startTimeout)))
+			paths := []string{"/far/safe" + holdPath}
+			for i := range kept {
+				paths = append(paths, fmt.Sprintf("/far/safe/kept/%d", i))
+			}
+			for _, path := range paths {
+				_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: %s\r\n\r\n", path, path)
+				require.NoError(t, err)
+			}
+			require.Eventually(t, func() bool { return strings.Contains(f.targets.String(), paths[kept]) }, startTimeout, pollInterval)
+			f.awaitRunning(t, "far", 1)
+			require.NoError(t, f.nodes["near"].Stop(t.Context()))
+			r := bufio.NewReader(conn)
+			for i := range paths {
+				response, err := http.ReadResponse(r, nil)
+				require.NoError(t, err, "response %d", i)
+				body, err := io.ReadAll(response.Body)
+				require.NoError(t, err)
+				if i == 0 {
+					require.Equal(t, http.StatusBadGateway, response.StatusCode)
+					require.Contains(t, string(body), `"may-have-run"`)
+					continue
+				}
+				require.Equal(t, http.StatusOK, response.StatusCode, "response %d", i)
+				require.Equal(t, i == kept, response.Close, "the last response announces the close")
+			}
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,9 @@
 	WaitTimeout time.Duration `yaml:"waitTimeout"`
 	// DrainTimeout limits the wait for requests in flight at shutdown.
 	DrainTimeout time.Duration `yaml:"drainTimeout"`
+	// AbortTimeout limits the time after the drain timeout in which requests still in
+	// flight get a refusal and the responses behind them are written.
+	AbortTimeout time.Duration `yaml:"abortTimeout"`
 	Log          Log           `yaml:"log"`
 	// Limits states what the VM gives the process.
 	Limits Limits `yaml:"limits"`
@@ -186,6 +189,7 @@
 		Hedging:      Hedging{Quantile: 0.9, MinDelay: 50 * time.Millisecond},
 		WaitTimeout:  15 * time.Second,
 		DrainTimeout: 30 * time.Second,
+		AbortTimeout: time.Second,
 		Log:          Log{Level: "info"},
 		Bounds:       vanillabarrow.DefaultBounds(),
 	}
@@ -206,8 +210,9 @@
 // ApplyGracePeriod derives the times of a planned stop from the grace period, if that
 // is known.
 func (s *Settings) ApplyGracePeriod() {
-	if s.Bounds.GracePeriod > 0 {
-		s.LeaveNotice, s.WaitTimeout, s.DrainTimeout = s.Bounds.LeaveNotice(), s.Bounds.WaitTimeout(), s.Bounds.DrainTimeout()
+	if b := s.Bounds; b.GracePeriod > 0 {
+		s.LeaveNotice, s.WaitTimeout = b.LeaveNotice(), b.WaitTimeout()
+		s.DrainTimeout, s.AbortTimeout = b.DrainTimeout(), b.AbortTimeout()
 	}
 }
 
@@ -260,7 +265,7 @@
 		}
 	}
 	for field, d := range map[string]time.Duration{
-		"requests.askAfter": s.Requests.QueryAfter, "waitTimeout": s.WaitTimeout, "drainTimeout": s.DrainTimeout,
+		"requests.askAfter": s.Requests.QueryAfter, "waitTimeout": s.WaitTimeout, "drainTimeout": s.DrainTimeout, "abortTimeout": s.AbortTimeout,
 		"bounds.configApply": s.Bounds.ConfigApply, "bounds.drain": s.Bounds.Drain, "bounds.stabilityWindow": s.Bounds.StabilityWindow,
 	} {
 		if d <= 0 {
--- a/pkg/cmd/node/run/run.go
+++ b/pkg/cmd/node/run/run.go
@@ -232,7 +232,7 @@
 	logger.Info(logging.EventStarting, "version", build.Info(), "profile", s.Profile, "dataCentre", s.Node.DataCentre,
 		"service", s.Node.Service, "target", cmp.Or(targetRef.Name, targetRef.Address), "seeds", len(s.Seeds),
 		"configApply", s.Bounds.ConfigApply, "drain", s.Bounds.Drain, "stabilityWindow", s.Bounds.StabilityWindow,
-		"leaveNotice", s.LeaveNotice, "waitTimeout", s.WaitTimeout, "drainTimeout", s.DrainTimeout)
+		"leaveNotice", s.LeaveNotice, "waitTimeout", s.WaitTimeout, "drainTimeout", s.DrainTimeout, "abortTimeout", s.AbortTimeout)
 	listeners, err := node.Listen(s)
 	if err != nil {
 		return err
--- a/pkg/cmd/node/run/run_test.go
+++ b/pkg/cmd/node/run/run_test.go
@@ -59,13 +59,14 @@
 // before the process is killed, or that does not wait for them long enough.
 func TestStopTimes(t *testing.T) {
 	tests := map[string]struct {
-		gracePeriod                            string
-		leaveNotice, waitTimeout, drainTimeout time.Duration
+		gracePeriod string
+		// leaveNotice, waitTimeout, drainTimeout and abortTimeout are the times of a stop.
+		leaveNotice, waitTimeout, drainTimeout, abortTimeout time.Duration
 	}{
-		"not known":   {"", time.Second, 15 * time.Second, 30 * time.Second},
-		"two seconds": {"2s", 2500 * time.Millisecond / 3, 500 * time.Millisecond, 900 * time.Millisecond},
-		"six seconds": {"6s", 2500 * time.Millisecond, 1500 * time.Millisecond, 2700 * time.Millisecond},
-		"long":        {"60s", 25 * time.Second, 15 * time.Second, 27 * time.Second},
+		"not known":   {"", time.Second, 15 * time.Second, 30 * time.Second, time.Second},
+		"two seconds": {"2s", 2500 * time.Millisecond / 3, 500 * time.Millisecond, 900 * time.Millisecond, 100 * time.Millisecond},
+		"six seconds": {"6s", 2500 * time.Millisecond, 1500 * time.Millisecond, 2700 * time.Millisecond, 300 * time.Millisecond},
+		"long":        {"60s", 25 * time.Second, 15 * time.Second, 27 * time.Second, 3 * time.Second},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -75,9 +76,10 @@
 			require.Equal(t, tt.waitTimeout, s.WaitTimeout)
 			require.Equal(t, tt.drainTimeout, s.DrainTimeout)
 			require.Less(t, s.WaitTimeout, s.DrainTimeout)
+			require.Equal(t, tt.abortTimeout, s.AbortTimeout)
 			if g := s.Bounds.GracePeriod; g > 0 {
 				require.Greater(t, s.LeaveNotice+s.DrainTimeout, g*5/6)
-				require.Less(t, s.LeaveNotice+s.DrainTimeout+kernel.AbortTime, g)
+				require.Less(t, s.LeaveNotice+s.DrainTimeout+s.AbortTimeout+kernel.AbortTime, g)
 			}
 		})
 	}
--- a/verdict.go
+++ b/verdict.go
@@ -120,6 +120,10 @@
 	ReasonBodyIncomplete Reason = "bodyIncomplete"
 )
 
+// ErrNodeStopping is the cause of the cancellation of requests that are still in flight
+// when the time of a planned stop is over.
+var ErrNodeStopping = errors.New("the node is shutting down")
+
 // Refusal is the error of every request that did not finish.
 type Refusal struct {
 	Verdict Verdict
