Replace a kept response that breaks off before its turn

Cause: the caller server aborts the connection when the rest of a streamed response fails, also for a response that is still kept behind others. The rest was read only after the head had been written, and a response that was complete but late was written with a deadline in the past, which closes the connection too.

Evidence: TestBrokenResponseBehindAnother failed before in each of its cases, with 'unexpected EOF' or because the break was not found before the turn.

Change: the rest of a streamed response is read before its turn within the bounds for kept responses. If that fails, the kept part is discarded and a refusal (may-have-run) takes its place. A response whose deadline has passed at its turn is written once its handler has ended, with a new deadline if it is complete.

Tests of the changed packages pass with the race detector.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -319,7 +320,8 @@
 }
 
 // writeResponse sends the response. If the response is truncated, the connection
-// is aborted, so that the caller can't mistake it for a complete one.
+// is aborted, so that the caller can't mistake it for a complete one. One that is still
+// kept behind other responses is replaced by a refusal.
 func (s *Server) writeResponse(w http.ResponseWriter, info *requestInfo, response *vanillabarrow.Response) {
 	h := w.Header()
 	message.CopyHeader(h, response.Header)
@@ -340,9 +342,22 @@
 	if err != nil && !errors.Is(err, context.Canceled) {
 		s.Logger.Warn(logging.EventResponseTruncated, "id", info.id, "target", response.Target, "error", err)
 	}
-	if err != nil {
+	if err == nil {
+		return
+	}
+	if !pipeline.Reset(w) {
 		panic(http.ErrAbortHandler)
 	}
+	s.refuse(w, info, truncationRefusal(err))
+}
+
+// truncationRefusal returns the refusal for a request whose response was truncated before
+// any of it was sent.
+func truncationRefusal(err error) *vanillabarrow.Refusal {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+		return vanillabarrow.MayHaveRun(vanillabarrow.ReasonDeadline, "the response did not get its turn before the deadline")
+	}
+	return vanillabarrow.MayHaveRun(vanillabarrow.ReasonAnswerLost, "the response broke off before its turn")
 }
 
 // writeStream sends the body of a response that is not buffered completely. A
--- a/internal/pipeline/ahead.go
+++ b/internal/pipeline/ahead.go
@@ -14,6 +14,13 @@
 	"time"
 )
 
+// lateWriteTimeout limits the time to write a response that was complete before its turn,
+// if its deadline ends sooner.
+const lateWriteTimeout = 5 * time.Second
+
+// copyBuffer is the size in bytes of one read of a streamed response.
+const copyBuffer = 16 << 10
+
 // ahead is a request that was started before net/http read it. It is the
 // http.ResponseWriter of its handler. The response is kept until net/http calls the
 // handler for the request, and then written directly.
@@ -93,6 +100,10 @@
 	// The body has been read ahead. net/http watches the connection only after it has
 	// read the body, too.
 	_, _ = io.Copy(io.Discard, r.Body)
+	if a.isLate() {
+		// The handler fails, and replaces what it has written.
+		<-a.done
+	}
 	a.join(w)
 	<-a.done
 	if a.panic != nil {
@@ -119,7 +130,7 @@
 		clear(w.Header())
 	}
 	if !a.deadline.IsZero() {
-		_ = http.NewResponseController(w).SetWriteDeadline(a.deadline)
+		_ = http.NewResponseController(w).SetWriteDeadline(a.writeDeadline())
 	}
 	if a.status == 0 {
 		return
@@ -135,6 +146,26 @@
 	}
 }
 
+// isLate reports whether the deadline of a response has passed.
+func (a *ahead) isLate() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.deadline.IsZero() && !time.Now().Before(a.deadline)
+}
+
+// writeDeadline returns the deadline for writing the response. One that is complete is
+// written although it is late.
+func (a *ahead) writeDeadline() time.Time {
+	select {
+	case <-a.done:
+		if late := time.Now().Add(lateWriteTimeout); late.After(a.deadline) {
+			return late
+		}
+	default:
+	}
+	return a.deadline
+}
+
 // sendHeader passes the header on. The last request started on a connection that is
 // to be closed announces that.
 func (a *ahead) sendHeader() {
@@ -207,10 +238,8 @@
 // awaitTurn waits until net/http serves the request, at most until the write
 // deadline.
 func (a *ahead) awaitTurn() error {
-	select {
-	case <-a.joined:
+	if a.isJoined() {
 		return nil
-	default:
 	}
 	a.mu.Lock()
 	deadline := a.deadline
@@ -231,18 +260,59 @@
 	}
 }
 
-// ReadFrom implements io.ReaderFrom. The rest of a streamed response is read from the
-// target when the response's turn has come.
+// ReadFrom implements io.ReaderFrom. As much of a streamed response is read before its
+// turn as the connection's bound for responses allows, so that one that breaks off can be
+// replaced.
 func (a *ahead) ReadFrom(r io.Reader) (int64, error) {
-	a.mu.Lock()
-	if a.status == 0 {
-		a.writeHeader(http.StatusOK)
+	total := int64(0)
+	p := make([]byte, copyBuffer)
+	for !a.isJoined() {
+		n, err := r.Read(p)
+		if n > 0 {
+			if _, err := a.Write(p[:n]); err != nil {
+				return total, err
+			}
+			total += int64(n)
+		}
+		if errors.Is(err, io.EOF) {
+			return total, nil
+		}
+		if err != nil {
+			return total, err
+		}
 	}
-	a.mu.Unlock()
-	if err := a.awaitTurn(); err != nil {
-		return 0, err
+	n, err := io.Copy(a.w, r)
+	return total + n, err
+}
+
+// isJoined reports whether the response's turn has come.
+func (a *ahead) isJoined() bool {
+	select {
+	case <-a.joined:
+		return true
+	default:
+		return false
 	}
-	return io.Copy(a.w, r)
+}
+
+// Reset discards the response that a handler has written so far, so that it can write
+// another one. It returns false if a part of the response may have been sent, or if the
+// request was not started ahead.
+func Reset(w http.ResponseWriter) bool {
+	a, ok := w.(*ahead)
+	if !ok {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.w != nil {
+		return false
+	}
+	clear(a.header)
+	a.status, a.sent, a.information = 0, nil, nil
+	a.body, a.flushed, a.deadline = nil, false, time.Time{}
+	a.conn.releaseResponse(a)
+	return true
 }
 
 // FlushError is used by http.ResponseController.
