Answer requests that are read while the server shuts down

Cause: http.Server.Shutdown sets a flag, and a connection that has read a request and then finds the flag set is closed without a call of the handler. On a node short of processor time many accepted connections are unread when the notice ends.

TestStopServesNewConnections failed before with 'unexpected EOF'.

Change: the server drains its connections itself: no new ones, reads of idle connections are interrupted by a deadline, which can't take a request that was read, new connections get a second for their first request, and each connection ends after its response. Shutdown is called for HTTP/2 after that. A read of a closed pipelined connection fails also if bytes are left. 'open requests cut' is logged only if there were any, with their number; it came at each stop, because the listening socket was closed twice.

Tests of kernel, pipeline, caller, peer, node and operator pass with the race detector.

--- a/internal/kernel/lock.go
+++ b/internal/kernel/lock.go
@@ -31,6 +31,7 @@
 	RankAllowances
 	RankHedging
 	RankRegionLinks
+	RankServerConns
 	RankPipeline
 	RankConnections
 	RankTargetPool
--- a/internal/kernel/serve.go
+++ b/internal/kernel/serve.go
@@ -62,8 +62,10 @@
 
 // HTTPServer serves a listener from the start to the stop of a node.
 type HTTPServer struct {
-	cfg    HTTPServerConfig
-	server *http.Server
+	cfg      HTTPServerConfig
+	server   *http.Server
+	listener *stopListener
+	conns    *serverConns
 	// stopper is the listener if that is told before the shutdown, else nil.
 	stopper Stopper
 	done    chan struct{}
@@ -79,9 +81,11 @@
 		cfg.Listener = &intakeListener{Listener: cfg.Listener, name: cfg.Name, intake: cfg.Intake, logger: cfg.Logger}
 		cfg.Handler = intakeHandler{cfg.Handler}
 	}
-	s := &HTTPServer{cfg: cfg, stopper: stopper, done: make(chan struct{})}
+	s := &HTTPServer{
+		cfg: cfg, stopper: stopper, listener: newStopListener(cfg.Listener), conns: newServerConns(), done: make(chan struct{}),
+	}
 	s.server = &http.Server{
-		Handler:           cfg.Handler,
+		Handler:           connsHandler{s.conns, cfg.Handler},
 		ConnContext:       s.connContext,
 		ConnState:         s.connState,
 		Protocols:         protocols,
@@ -95,7 +99,7 @@
 
 func (s *HTTPServer) run() {
 	defer close(s.done)
-	if err := s.server.Serve(s.cfg.Listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		s.cfg.Logger.Error(logging.EventListenerFailed, "listener", s.cfg.Name, "error", err)
 	}
 }
@@ -113,20 +117,45 @@
 		OnStop: func(ctx context.Context) error {
 			drainCtx, cancel := withEarlierDeadline(ctx, AbortTime)
 			defer cancel()
-			if s.stopper != nil {
-				s.stopper.Stop(drainCtx)
-			}
-			err := s.server.Shutdown(drainCtx)
-			if err != nil {
-				s.cfg.Logger.Warn(logging.EventRequestsAborted, "listener", s.cfg.Name, "error", err)
-				_ = s.server.Close()
-			}
+			s.stop(drainCtx)
 			<-s.done
 			return nil
 		},
 	}
 }
 
+// stop serves the requests that have been read and closes the connections. It cuts those
+// whose requests are still open when the context ends.
+func (s *HTTPServer) stop(ctx context.Context) {
+	if err := s.listener.stop(); err != nil {
+		s.cfg.Logger.Debug(logging.EventListenerFailed, "listener", s.cfg.Name, "error", err)
+	}
+	if s.stopper != nil {
+		s.stopper.Stop(ctx)
+	}
+	s.drain(ctx)
+	// What is left are connections with HTTP/2, if the context has not ended.
+	if err := s.server.Shutdown(ctx); err != nil {
+		if open := s.conns.count(serverConn.isActive); open > 0 {
+			s.cfg.Logger.Warn(logging.EventRequestsAborted, "listener", s.cfg.Name, "count", open)
+		}
+		_ = s.server.Close()
+	}
+}
+
+// drain ends the connections with HTTP/1 after the requests that have been read from
+// them. http.Server.Shutdown drops a request that was read after it began.
+func (s *HTTPServer) drain(ctx context.Context) {
+	s.conns.drain()
+	s.conns.interrupt(serverConn.isIdle)
+	s.conns.interrupt(serverConn.isUnused)
+	newCtx, cancel := context.WithTimeout(ctx, newConnTimeout)
+	defer cancel()
+	s.conns.await(newCtx, serverConn.isUnread)
+	s.conns.interrupt(serverConn.isNew)
+	s.conns.await(ctx, serverConn.isSequential)
+}
+
 // withEarlierDeadline returns a context that ends the given time before the
 // deadline of its parent, if that has one.
 func withEarlierDeadline(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
--- a/internal/kernel/serve_test.go
+++ b/internal/kernel/serve_test.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -89,6 +90,59 @@
 	}
 }
 
+// TestStopServesNewConnections guards against a stop that drops a request which it has
+// read from a connection that was open before, and against one that waits long for a
+// connection without a request.
+func TestStopServesNewConnections(t *testing.T) {
+	tests := map[string]struct {
+		// sendAfter is the time from the beginning of the stop to the request, 0 for no
+		// request.
+		sendAfter, took time.Duration
+		status          int
+		// age is the age of the connection when the stop begins.
+		age time.Duration
+	}{
+		"request in time":            {newConnTimeout / 2, newConnTimeout / 2, http.StatusOK, 0},
+		"no request":                 {0, newConnTimeout, 0, 0},
+		"no request for a long time": {0, 0, 0, unusedAge + time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+				hook := NewHTTPServer(HTTPServerConfig{
+					Name: "test", Listener: listener, Logger: slog.New(slog.DiscardHandler),
+					Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+				}).Hook()
+				require.NoError(t, hook.OnStart(t.Context()))
+				client, server := net.Pipe()
+				defer func() { _ = client.Close() }()
+				listener.conns <- server
+				time.Sleep(tt.age)
+				synctest.Wait()
+				start, took := time.Now(), make(chan time.Duration, 1)
+				go func() {
+					_ = hook.OnStop(context.Background())
+					took <- time.Since(start)
+				}()
+				if tt.status != 0 {
+					time.Sleep(tt.sendAfter)
+					_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+					require.NoError(t, err)
+				}
+				response, err := http.ReadResponse(bufio.NewReader(client), nil)
+				if tt.status == 0 {
+					require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				} else {
+					require.NoError(t, err)
+					require.Equal(t, tt.status, response.StatusCode)
+				}
+				require.Equal(t, tt.took, <-took)
+			})
+		})
+	}
+}
+
 // stoppableListener records that it was told before its server was shut down.
 type stoppableListener struct {
 	net.Listener
--- a/internal/kernel/user_timeout.go
+++ b/internal/kernel/user_timeout.go
@@ -55,6 +55,7 @@
 // connContext sets TCP_USER_TIMEOUT on an accepted connection and stores the
 // connection in the context of its requests.
 func (s *HTTPServer) connContext(ctx context.Context, conn net.Conn) context.Context {
+	ctx = context.WithValue(ctx, serverConnKey{}, conn)
 	if c, ok := conn.(*IntakeConn); ok {
 		ctx = context.WithValue(ctx, intakeKey{}, c)
 		conn = c.Conn
@@ -67,8 +68,12 @@
 }
 
 // connState sets TCP_USER_TIMEOUT again when a request arrives, since the previous
-// request may have disabled it. It marks the end of a request for the Intake.
+// request may have disabled it. It marks the end of a request for the Intake and
+// records the state for a stop, during which idle connections are closed.
 func (s *HTTPServer) connState(conn net.Conn, state http.ConnState) {
+	if s.conns.set(conn, state) {
+		_ = conn.Close()
+	}
 	if c, ok := conn.(*IntakeConn); ok {
 		if state == http.StateIdle {
 			c.BeginHead()
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -95,7 +95,7 @@
 		EventReady:                  {[]string{"asOf", "confirmedAge", "version", "peers", "platform"}, "the node accepts requests; confirmedAge is the time since the platform last confirmed the configuration"},
 		EventStopping:               {[]string{"cause"}, "the node begins to shut down"},
 		EventStopped:                {[]string{"error", "linesLeftOut"}, "the node has shut down"},
-		EventRequestsAborted:        {[]string{"listener", "error"}, "requests were still open when the drain timeout passed, and were aborted"},
+		EventRequestsAborted:        {[]string{"listener", "count"}, "connections whose requests were still open when the time of a stop was over, and were cut"},
 		EventListenerFailed:         {[]string{"listener", "error"}, "a listener no longer accepts connections"},
 		EventConnectionRefused:      {[]string{"listener", "peer"}, "a new connection was closed, because the node has as many as its descriptors or memory allow and none that may be closed for it"},
 		EventClientClosed:           {[]string{"listener", "peer", "reason"}, "a connection was closed before its request was admitted: reason is memory if the request would have held too much, or displaced if the connection gave way to another"},
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -286,10 +286,8 @@
 
 // readBuffered returns buffered bytes and waits for them if there are none.
 func (c *conn) readBuffered(p []byte) (int, error) {
-	for c.undelivered() == 0 {
+	for c.undelivered() == 0 && !c.closed {
 		switch {
-		case c.closed:
-			return 0, net.ErrClosed
 		case c.err != nil:
 			return 0, c.err
 		case !c.deadline.IsZero() && !time.Now().Before(c.deadline):
@@ -297,6 +295,9 @@
 		}
 		c.changed.Wait()
 	}
+	if c.closed {
+		return 0, net.ErrClosed
+	}
 	available := c.buf[c.delivered-c.base:]
 	n := c.deliver(p, available)
 	copy(p, available[:n])
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -10,7 +10,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 
 	"github.com/uber-go/tally/v4"
@@ -50,10 +49,8 @@
 	stopping atomic.Bool
 	// open is the number of requests started ahead whose responses have not been
 	// written or, if they won't be, whose handlers have not returned.
-	open      atomic.Int64
-	finished  chan struct{}
-	closed    chan struct{}
-	closeOnce sync.Once
+	open     atomic.Int64
+	finished chan struct{}
 }
 
 // New returns a listener.
@@ -61,38 +58,30 @@
 	scope := cfg.Scope.SubScope("pipeline")
 	return &Listener{
 		Config: cfg, started: scope.Counter("started"), waiting: scope.Counter("waiting"), bound: scope.Counter("boundReached"),
-		finished: make(chan struct{}, 1), closed: make(chan struct{}),
+		finished: make(chan struct{}, 1),
 	}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if err == nil {
-		return newConn(l, c), nil
+	if err != nil {
+		return nil, err
 	}
-	if l.stopping.Load() {
-		// The server returns from Serve only once it is shut down.
-		<-l.closed
-	}
-	return nil, err
+	return newConn(l, c), nil
 }
 
 // Close implements net.Listener.
-func (l *Listener) Close() error {
-	l.closeOnce.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
+func (l *Listener) Close() error { return l.Listener.Close() }
 
 // Addr implements net.Listener.
 func (l *Listener) Addr() net.Addr { return l.Listener.Addr() }
 
-// Stop implements kernel.Stopper. It stops accepting connections and starting requests ahead. It waits until the
-// responses to those started are written, because the server closes each
-// connection after its next response once it is shut down.
+// Stop implements kernel.Stopper. It stops starting requests ahead, and waits until the
+// responses to those started are written, because the server closes each connection
+// after its next response once it is shut down.
 func (l *Listener) Stop(ctx context.Context) {
 	l.stopping.Store(true)
-	_ = l.Listener.Close()
 	for l.open.Load() > 0 {
 		select {
 		case <-l.finished:
