Do not take late dial timeouts for unreachable nodes

Cause: two dials that time out within 1.5 s open the breaker of a data centre, and the idempotent attempts in flight there are given up. On a node short of processor time a dial times out although the connection is established, since the runtime looks at the timer first.

Of 157 attempts that ended as unreachable 151 took 300 ms and longer, for a timeout of 250 ms.

Change: a dial that times out more than 50 ms late ends as nodeDelayed. The next target is tried; no breaker opens or closes and no target is ejected.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -99,7 +99,7 @@
 // response does not.
 func provesReachable(reason vanillabarrow.Reason) bool {
 	switch reason {
-	case vanillabarrow.ReasonUnreachable, vanillabarrow.ReasonCutOff,
+	case vanillabarrow.ReasonUnreachable, vanillabarrow.ReasonNodeDelayed, vanillabarrow.ReasonCutOff,
 		vanillabarrow.ReasonDeadline, vanillabarrow.ReasonCanceled:
 		return false
 	default:
--- a/internal/dispatch/next_test.go
+++ b/internal/dispatch/next_test.go
@@ -259,6 +259,7 @@
 		"refused in a remote data centre":     {"b", vanillabarrow.ReasonConnectionFailed, false},
 		"unreachable in the own data centre":  {"a", vanillabarrow.ReasonUnreachable, false},
 		"unreachable in a remote data centre": {"b", vanillabarrow.ReasonUnreachable, true},
+		"not reached by a delayed node":       {"b", vanillabarrow.ReasonNodeDelayed, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -301,6 +302,7 @@
 		"deadline":    {vanillabarrow.ReasonDeadline, false},
 		"canceled":    {vanillabarrow.ReasonCanceled, false},
 		"unreachable": {vanillabarrow.ReasonUnreachable, false},
+		"delayed":     {vanillabarrow.ReasonNodeDelayed, false},
 		"refused":     {vanillabarrow.ReasonOverloaded, true},
 		"reset":       {vanillabarrow.ReasonConnectionFailed, true},
 	}
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -81,7 +81,7 @@
 		vm:       vm,
 		observer: observer,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:            kernel.DialResetOnClose(dialer.DialContext),
+			DialContext:            kernel.DialResetOnClose(detectDelay(dialer.DialContext)),
 			DisableCompression:     true,
 			MaxIdleConnsPerHost:    maxIdleConnsPerNode,
 			IdleConnTimeout:        idleTimeout,
@@ -196,7 +196,10 @@
 		return vanillabarrow.MayHaveRun(vanillabarrow.ReasonBodyIncomplete, err.Error())
 	}
 	reason := vanillabarrow.ReasonConnectionFailed
-	if ctx.Err() == nil && isTimeout(err) {
+	switch {
+	case errors.Is(err, errNodeDelayed):
+		reason = vanillabarrow.ReasonNodeDelayed
+	case ctx.Err() == nil && isTimeout(err):
 		reason = vanillabarrow.ReasonUnreachable
 	}
 	if !mayHaveRun {
--- a/verdict.go
+++ b/verdict.go
@@ -108,6 +108,10 @@
 	// connection was not established in time, or sent bytes were not
 	// acknowledged.
 	ReasonUnreachable Reason = "unreachable"
+	// ReasonNodeDelayed means that a connection was not established in time, but that
+	// the sending node was short of processor time, so that this proves nothing about
+	// the other node.
+	ReasonNodeDelayed Reason = "nodeDelayed"
 	// ReasonAnswerLost means that the response can't be obtained, although the
 	// request may have run.
 	ReasonAnswerLost Reason = "answerLost"
