Do not give up attempts when a breaker opens during a stop

Cause: the queues of new connections of busy nodes are full, so that dials to them time out in time. Two of them in a data centre open its breaker, which gives up what is in flight at nodes there that work.

Change: a node that shuts down leaves attempts in flight to their deadlines, to TCP_USER_TIMEOUT and to the queries. A node that goes on still gives them up.

Result: TestFailuresDuringRequest/unreachable_while_the_node_stops fails without the condition.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -78,6 +79,8 @@
 	subsets   *subsets
 	// hedgePauses holds the services at which a hedge was refused a moment ago.
 	hedgePauses *hedgePauses
+	// draining is set once the node shuts down.
+	draining atomic.Bool
 	// withdrawing is closed when requests no longer wait for a slot.
 	withdrawing  chan struct{}
 	withdrawOnce sync.Once
@@ -135,6 +138,11 @@
 	throttled bool
 }
 
+// Drain makes attempts go on when the breaker of their data centre opens. Unreachable
+// nodes may also be busy ones, and a request that is given up while its node stops may be
+// its caller's last try there.
+func (d *Dispatcher) Drain() { d.draining.Store(true) }
+
 // Withdraw refuses all requests that still wait for a slot, because the node exits
 // before they could be served, and makes no further attempts. It is called while
 // callers have time to send these requests to other nodes.
--- a/internal/dispatch/next_test.go
+++ b/internal/dispatch/next_test.go
@@ -248,18 +248,22 @@
 // TestFailuresDuringRequest checks the effect of failing connections to two
 // targets on a request that waits for a third one in the same data centre.
 // Refused connections, as from nodes that restart, must not abort it.
-// Unreachable nodes abort it if the data centre is a remote one.
+// Unreachable nodes abort it if the data centre is a remote one and the node goes on:
+// a stopping node must not break off a request at which its target is at work.
 func TestFailuresDuringRequest(t *testing.T) {
 	tests := map[string]struct {
 		own     string
 		reason  vanillabarrow.Reason
 		aborted bool
+		// stopping is set if the node shuts down.
+		stopping bool
 	}{
-		"refused in the own data centre":      {"a", vanillabarrow.ReasonConnectionFailed, false},
-		"refused in a remote data centre":     {"b", vanillabarrow.ReasonConnectionFailed, false},
-		"unreachable in the own data centre":  {"a", vanillabarrow.ReasonUnreachable, false},
-		"unreachable in a remote data centre": {"b", vanillabarrow.ReasonUnreachable, true},
-		"not reached by a delayed node":       {"b", vanillabarrow.ReasonNodeDelayed, false},
+		"refused in the own data centre":      {"a", vanillabarrow.ReasonConnectionFailed, false, false},
+		"refused in a remote data centre":     {"b", vanillabarrow.ReasonConnectionFailed, false, false},
+		"unreachable in the own data centre":  {"a", vanillabarrow.ReasonUnreachable, false, false},
+		"unreachable in a remote data centre": {"b", vanillabarrow.ReasonUnreachable, true, false},
+		"not reached by a delayed node":       {"b", vanillabarrow.ReasonNodeDelayed, false, false},
+		"unreachable while the node stops":    {"b", vanillabarrow.ReasonUnreachable, false, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -279,6 +283,9 @@
 				}
 				c := start("waits")
 				<-h.started
+				if tt.stopping {
+					d.Drain()
+				}
 				require.Error(t, <-start("one").done)
 				require.Error(t, <-start("two").done)
 				synctest.Wait()
--- a/internal/dispatch/plugin.go
+++ b/internal/dispatch/plugin.go
@@ -25,7 +25,7 @@
 			fx.Provide(NewTargetLoads, NewGateTokens, NewThrottle, NewDataCentreBreakers, NewRefusalCache, NewGateAttempts, NewExpiredTargets, provideCallOutcomes, provideDispatcher, func(d *Dispatcher) vanillabarrow.Dispatcher { return d }),
 			fx.Invoke(startSweep),
 			kernel.ProvideDrainer(func(d *Dispatcher) kernel.Drainer {
-				return kernel.Drainer{Name: "dispatch", Withdraw: d.Withdraw}
+				return kernel.Drainer{Name: "dispatch", Drain: d.Drain, Withdraw: d.Withdraw}
 			}),
 			kernel.ProvideState(func(l *TargetLoads) kernel.StateSource {
 				return kernel.StateSource{Name: "loads", State: func() any { return l.State(time.Now()) }}
