Withdraw an attempt that is being queried without delay

Cause: a query about an attempt that was sent just before the withdrawal is followed by the next one only after QueryAfter, so the withdrawal could come half a second late, or at the deadline.

Evidence: TestWithdrawRefusesWhatWaits failed in about one of ten runs with the race detector, when the query and the withdrawal fell on the same instant: 5 s, want 4 s.

Change: a query that was no withdrawal is followed by one at once.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -193,7 +193,12 @@
 			if reported.resolved {
 				return d.handleReport(ctx, p, reported.outcome)
 			}
-			timer.Reset(d.QueryAfter)
+			wait := d.QueryAfter
+			if withdrawing == nil && !reported.withdrawn {
+				// The query was sent before the withdrawal.
+				wait = 0
+			}
+			timer.Reset(wait)
 		case <-ctx.Done():
 			return nil, p.abandon(contextReason(ctx), "no response before the request ended")
 		}
--- a/internal/dispatch/pending.go
+++ b/internal/dispatch/pending.go
@@ -94,6 +94,8 @@
 type queryResult struct {
 	outcome  outcome
 	resolved bool
+	// withdrawn is set if the query has asked the gate to withdraw the attempt.
+	withdrawn bool
 }
 
 // pendingQuery queries the gate of an attempt.
@@ -112,6 +114,7 @@
 			result = queryResult{}
 		}
 	}()
+	withdrawn := q.attempt.dispatcher.isWithdrawing()
 	out, resolved := q.attempt.dispatcher.queryOutcome(ctx, q.attempt)
-	return queryResult{out, resolved}
+	return queryResult{out, resolved, withdrawn}
 }
--- a/internal/dispatch/withdraw_test.go
+++ b/internal/dispatch/withdraw_test.go
@@ -18,6 +18,8 @@
 	// hold is set if attempts have not been sent, begin if they have been.
 	hold, begin bool
 	runs        time.Duration
+	// queryTime is the time that a query takes which is no withdrawal.
+	queryTime   time.Duration
 	report      *vanillabarrow.AttemptReport
 	withdrawals int
 }
@@ -37,7 +39,8 @@
 	}
 }
 
-func (*withdrawnGate) QueryAttempt(context.Context, *vanillabarrow.Attempt) (*vanillabarrow.AttemptReport, error) {
+func (g *withdrawnGate) QueryAttempt(context.Context, *vanillabarrow.Attempt) (*vanillabarrow.AttemptReport, error) {
+	time.Sleep(g.queryTime)
 	return &vanillabarrow.AttemptReport{State: vanillabarrow.AttemptRunning}, nil
 }
 
@@ -77,6 +80,10 @@
 			withdrawnGate{hold: true, begin: true, runs: longRun, report: fenced},
 			vanillabarrow.VerdictNotRun, vanillabarrow.ReasonDraining, withdrawAfter,
 		},
+		"waits at the gate, which is being queried": {
+			withdrawnGate{hold: true, begin: true, runs: longRun, queryTime: 400 * time.Millisecond, report: fenced},
+			vanillabarrow.VerdictNotRun, vanillabarrow.ReasonDraining, withdrawAfter + 200*time.Millisecond,
+		},
 		"runs": {
 			withdrawnGate{hold: true, begin: true, runs: withdrawAfter + 500*time.Millisecond, report: running},
 			0, "", withdrawAfter + 500*time.Millisecond,
