--- a/internal/caller/broken_response_test.go
+++ b/internal/caller/broken_response_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -110,3 +111,50 @@
 		})
 	}
 }
+
+// heldStream fails once it is told to.
+type heldStream struct{ fail chan struct{} }
+
+// flushedBytes is more than net/http buffers of a response.
+const flushedBytes = 16 << 10
+
+func (s *heldStream) Read([]byte) (int, error) {
+	<-s.fail
+	return 0, errors.New("the connection to the gate is lost")
+}
+
+func (*heldStream) Close() error { return nil }
+
+// heldStreamDispatcher responds with a stream to the second request.
+type heldStreamDispatcher struct {
+	*heldDispatcher
+	stream *heldStream
+}
+
+func (d *heldStreamDispatcher) Do(ctx context.Context, r *vanillabarrow.Request) (*vanillabarrow.Response, error) {
+	if r.Path != "/returns/1" {
+		return d.heldDispatcher.Do(ctx, r)
+	}
+	return &vanillabarrow.Response{Status: http.StatusOK, Body: make([]byte, flushedBytes), Stream: d.stream, Deadline: time.Now().Add(time.Minute)}, nil
+}
+
+// TestBrokenResponseThatHasBegun guards against a refusal that follows a part of a
+// response, which the caller would take for the rest of it.
+func TestBrokenResponseThatHasBegun(t *testing.T) {
+	p := newPipelined(t, nil, 0)
+	d := &heldStreamDispatcher{p.d, &heldStream{make(chan struct{})}}
+	p.server.Dispatcher = d
+	fail := sync.OnceFunc(func() { close(d.stream.fail) })
+	defer fail()
+	p.send(t, "GET", "GET")
+	<-p.d.started
+	require.Eventually(t, func() bool { return p.server.InFlight() == 2 }, 20*time.Second, time.Millisecond)
+	close(p.d.release)
+	require.Equal(t, http.StatusOK, p.awaitResponse(t).StatusCode)
+	// The response to the second request has its turn, but its end is missing.
+	_, err := p.r.Peek(1)
+	require.NoError(t, err)
+	fail()
+	rest, err := io.ReadAll(p.r)
+	require.NotContains(t, string(rest), "may-have-run", "%v", err)
+}
--- a/internal/gate/withdraw_test.go
+++ b/internal/gate/withdraw_test.go
@@ -121,3 +121,29 @@
 		})
 	}
 }
+
+// TestWithdrawnAfterTheSlot guards against an attempt that has been given a slot, and
+// that runs although it was refused before it began: the gate is suspended in between.
+func TestWithdrawnAfterTheSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &fakeExecutor{status: 200, delay: 100 * time.Millisecond}
+		g, _ := newGate(e)
+		go func() { _, _ = g.Handle(t.Context(), attempt(g, "busy")) }()
+		synctest.Wait()
+		a := attempt(g, "a")
+		result := make(chan error, 1)
+		go func() {
+			_, err := g.Handle(t.Context(), a)
+			result <- err
+		}()
+		synctest.Wait()
+		g.suspension.suspend()
+		time.Sleep(2 * e.delay)
+		require.Equal(t, 1, g.Load(0).InFlight, "the attempt has the slot")
+		require.True(t, g.WithdrawAttempt(a).NotRun)
+		g.suspension.resume()
+		require.Equal(t, vanillabarrow.VerdictNotRun, vanillabarrow.AsRefusal(<-result).Verdict)
+		require.EqualValues(t, 1, e.runs.Load())
+		require.Zero(t, g.Load(0).InFlight)
+	})
+}
