Leave a part of the drain timeout to what gets a slot last

Cause: with a drainTimeout of the settings shorter than the default waitTimeout, requests would have been withdrawn only after they were aborted.

Change: requests wait for three quarters of the drain timeout at most. Comments reworded and wrapped.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -154,9 +154,9 @@
 // during a query takes precedence over the gate's report, because a gate that
 // ends an attempt meanwhile may report no more of it. An idempotent request with
 // MaxAttempts set also stops waiting when the breaker of a remote data centre
-// opens, since it can be tried at another target, unless the node shuts down. Once the dispatcher withdraws
-// requests, an attempt that was not sent ends, and the gate is asked to refuse one
-// that waits there.
+// opens, since it can be tried at another target, unless the node shuts down. Once
+// the dispatcher withdraws requests, an attempt that was not sent ends, and the gate
+// is asked to refuse one that waits there.
 func (d *Dispatcher) awaitOutcome(ctx context.Context, a *vanillabarrow.Attempt, breakerOpened <-chan struct{}) (*vanillabarrow.Response, error) {
 	forwardCtx, cancel := context.WithCancel(ctx)
 	p := &pendingAttempt{dispatcher: d, attempt: a, start: time.Now(), cancel: cancel, result: make(chan outcome, 1)}
--- a/internal/kernel/server_conns.go
+++ b/internal/kernel/server_conns.go
@@ -14,15 +14,14 @@
 	// unusedAge is the age from which on a connection without a request is not waited
 	// for. Clients also open connections that they don't use.
 	unusedAge = 5 * time.Second
+	// interruptInterval is the interval at which idle connections are interrupted.
+	// http.Server may set the deadline of a connection again that has just become idle.
+	interruptInterval = 100 * time.Millisecond
 )
 
 // aLongTimeAgo is a deadline that interrupts a pending read.
 var aLongTimeAgo = time.Unix(1, 0)
 
-// interruptInterval is the interval at which idle connections are interrupted. http.Server
-// may set the deadline of a connection again that has just become idle.
-const interruptInterval = 100 * time.Millisecond
-
 // serverConn is what a server knows about one of its open connections.
 type serverConn struct {
 	state http.ConnState
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,10 +139,11 @@
 // Stop shuts the node down: it announces the shutdown, gives callers and other
 // nodes the leave notice to switch to other nodes, and waits for requests in
 // flight. The target gets new requests until the refusal period at the end of
-// the notice. Requests that wait for a slot after the wait timeout are refused.
-// Those still in flight after the drain timeout are refused too, as far as that is
-// proved as not run, and the last responses are written within the abort timeout. What
-// is open then is cut, for which the stop takes kernel.AbortTime more.
+// the notice. Requests that wait for a slot after the wait timeout are refused as not
+// run. Those without a response after the drain timeout are refused as may-have-run,
+// unless it is proved that they have not run, and the last responses are written within
+// the abort timeout. What is open then is cut, for which the stop takes kernel.AbortTime
+// more.
 // When ctx ends, the rest of the notice is skipped.
 func (n *Node) Stop(ctx context.Context) error {
 	for _, d := range n.drainers {
@@ -165,7 +166,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.DrainTimeout+n.settings.AbortTimeout+kernel.AbortTime)
 	defer cancel()
-	s := &shutdown{drainers: n.drainers, waitTimeout: n.settings.WaitTimeout, drainTimeout: n.settings.DrainTimeout}
+	s := newShutdown(n.drainers, n.settings)
 	go s.run(ctx)
 	return n.app.Stop(ctx)
 }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/settings"
 	"github.com/vanillabarrow/vanillabarrow/internal/sleep"
 )
 
@@ -17,6 +18,12 @@
 	waitTimeout, drainTimeout time.Duration
 }
 
+// newShutdown returns a shutdown with the times of the settings. What gets a slot last has
+// at least a quarter of the drain timeout.
+func newShutdown(drainers []kernel.Drainer, s settings.Settings) *shutdown {
+	return &shutdown{drainers: drainers, waitTimeout: min(s.WaitTimeout, s.DrainTimeout*3/4), drainTimeout: s.DrainTimeout}
+}
+
 // run calls the drainers until the context ends.
 func (s *shutdown) run(ctx context.Context) {
 	start := time.Now()
