Fix the seed of the test of requests that are not hedged

Cause: TestNoHedge/throttled sends one request on a route whose admitted share is 0.9 and expects one attempt. The throttle refuses one request in ten before its first attempt, by a random choice that the test did not seed.

What it expects is unchanged.

--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -20,6 +20,7 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/dispatch"
 	"github.com/vanillabarrow/vanillabarrow/internal/hedge"
 	"github.com/vanillabarrow/vanillabarrow/internal/limit"
+	"github.com/vanillabarrow/vanillabarrow/internal/random"
 	"github.com/vanillabarrow/vanillabarrow/internal/retry"
 )
 
@@ -201,6 +202,8 @@
 	for name, change := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
+				// The throttle refuses a share of the requests at random.
+				defer random.Seed(1)()
 				s := newHedgeSetup()
 				change(s)
 				_, _ = dispatch.New(s.cfg).Do(t.Context(), s.request)
