Do not take a reset for the end of a response while an upload is written

What callers saw: a target responded early to a long upload with a 200 without a length, sent part of its body and reset the connection. The caller got the part as the complete response.

Cause: the operating system reports the reset of a socket once, to the first call after it. The upload and the read of the response share the socket. If the write of the upload got ECONNRESET, the next read got the end of the connection, which ends a response without a length.

Evidence: strace of TestResetBesideUpload on the code before: "write(6, ...) = -1 ECONNRESET" in the goroutine of the upload, then "read(6, "", 4096) = 0" in that of the response, which was complete.

Change: kernel.SharedConn notes the error that a write got, under a lock that is held from the system call until the error is noted, but not while the write waits for room. A read that got the end of the connection takes the lock and returns the noted error instead. The order of the two goroutines does not matter: a write that took the error before the read has either noted it or still holds the lock. EPIPE is no such error: a write gets it first only if the target ended the connection before it was reset, so that its response has arrived.

Nothing is locked for a read that does not end the connection.

--- a/internal/kernel/lock.go
+++ b/internal/kernel/lock.go
@@ -35,6 +35,7 @@
 	RankPipeline
 	RankConnections
 	RankTargetPool
+	RankSharedConn
 	RankPatchCache
 	RankWorkerPool
 )
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -58,7 +58,7 @@
 
 // conn is a connection to the target. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*kernel.SharedConn
 	r *responseReader
 	w *bufio.Writer
 	// usableUntil is the time until which the idle connection may be used.
@@ -74,7 +74,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	n := &conn{Conn: c, r: newResponseReader(c)}
+	shared := kernel.NewSharedConn(c)
+	n := &conn{SharedConn: shared, r: newResponseReader(shared)}
 	n.w = bufio.NewWriterSize(n, bufferBytes)
 	return n
 }
@@ -82,7 +83,7 @@
 // Write implements io.Writer and records that bytes may have been sent.
 func (c *conn) Write(p []byte) (int, error) {
 	c.wrote.Store(true)
-	return c.Conn.Write(p)
+	return c.SharedConn.Write(p)
 }
 
 // isUsable reports whether the idle connection can carry another request: it is
