Read responses of targets with a reader of HTTP/1.1

Cause: http.ReadResponse hides what a check needs: it removes a length beside a transfer coding, and takes a field whose name ends with a blank for another one. A malformed head can't be refused after it.

Change: package internal/http1 has one reader for all responses on connections to targets, those of requests and those of health checks. Two fields arrive now as the target sent them: net/http removed Connection, so that fields named there were passed on, and added Cache-Control to Pragma.

--- /dev/null
+++ b/internal/http1/head.go
@@ -0,0 +1,105 @@
+package http1
+
+import (
+	"fmt"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+)
+
+// statusDigits is the number of digits of a status.
+const statusDigits = 3
+
+// malformed returns an error that is ErrMalformed.
+func malformed(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, args...))
+}
+
+// parseStatusLine returns the status and the minor version. Like net/http, it
+// tolerates further spaces before the status and a missing reason phrase.
+func parseStatusLine(line string) (status, minor int, err error) {
+	version, rest, _ := strings.Cut(line, " ")
+	_, minor, ok := http.ParseHTTPVersion(version)
+	if !ok {
+		return 0, 0, malformed("status line %q has no version of HTTP", line)
+	}
+	digits, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	status, err = strconv.Atoi(digits)
+	if err != nil || len(digits) != statusDigits || status < 0 {
+		return 0, 0, malformed("status %q", digits)
+	}
+	return status, minor, nil
+}
+
+// framing is how the end of a body is announced: by chunks, by its length, or by
+// neither, so that it ends with the connection.
+type framing struct {
+	chunked bool
+	// length is -1 if the header states none.
+	length int64
+}
+
+// newFraming returns the framing that a header states, as in RFC 9112, section 6.3,
+// and removes the transfer coding from it. A transfer coding overrides a length, and
+// is ignored in a response of HTTP/1.0.
+func newFraming(h http.Header, minor int) (framing, error) {
+	lengths, hasLength := h["Content-Length"]
+	codings, isCoded := h["Transfer-Encoding"]
+	delete(h, "Transfer-Encoding")
+	isCoded = isCoded && minor > 0
+	switch {
+	case isCoded && (len(codings) != 1 || !strings.EqualFold(codings[0], "chunked")):
+		return framing{}, malformed("unsupported transfer coding %q", codings)
+	case isCoded:
+		delete(h, "Content-Length")
+		return framing{chunked: true, length: -1}, nil
+	case hasLength:
+		length, err := parseLength(lengths)
+		h["Content-Length"] = lengths[:1]
+		return framing{length: length}, err
+	default:
+		return framing{length: -1}, nil
+	}
+}
+
+// parseLength returns the length that all values state.
+func parseLength(values []string) (int64, error) {
+	first := textproto.TrimString(values[0])
+	// ParseUint refuses signs.
+	length, err := strconv.ParseUint(first, 10, 63)
+	if err != nil {
+		return 0, malformed("length %q", first)
+	}
+	for _, value := range values[1:] {
+		if textproto.TrimString(value) != first {
+			return 0, malformed("different lengths %q", values)
+		}
+	}
+	return int64(length), nil
+}
+
+// hasBody reports whether the response to a request with the method has a body.
+func hasBody(method string, status int) bool {
+	return method != http.MethodHead && status/100 != 1 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// keepsAlive reports whether the server states that it keeps the connection open.
+func keepsAlive(h http.Header, minor int) bool {
+	if hasOption(h["Connection"], "close") {
+		return false
+	}
+	return minor > 0 || hasOption(h["Connection"], "keep-alive")
+}
+
+// hasOption reports whether a field that holds a list contains the option.
+func hasOption(values []string, option string) bool {
+	for _, value := range values {
+		for element := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(textproto.TrimString(element), option) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -15,14 +15,14 @@
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/http1"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/message"
 )
 
 const (
-	// bufferBytes is the size of a connection's read buffer and of its write
-	// buffer.
-	bufferBytes = 4 << 10
+	// bufferBytes is the size of a connection's write buffer.
+	bufferBytes = http1.BufferBytes
 	// maxInlineBodyBytes is the largest body that is written before the
 	// response is read. It fits into a socket buffer, so that the write does
 	// not block.
@@ -44,6 +44,10 @@
 	// refusalBodyTimeout limits the time for which a refusal waits for its body.
 	// The target runs on the same VM and usually sends it with the header.
 	refusalBodyTimeout = 50 * time.Millisecond
+	// maxResponseHeaderBytes is the maximum size of a response's status line and
+	// header. It is below the limit of internal/peer, so that the fields that nodes
+	// add fit too.
+	maxResponseHeaderBytes = 128 << 10
 	// maxRefusalsPerConn is the number of refusals after which a connection is
 	// no longer used. It limits the ids that a connection keeps.
 	maxRefusalsPerConn = 16
@@ -59,7 +63,7 @@
 // conn is a connection to the target. It carries one request at a time.
 type conn struct {
 	*kernel.SharedConn
-	r *responseReader
+	r *http1.Reader
 	w *bufio.Writer
 	// usableUntil is the time until which the idle connection may be used.
 	usableUntil time.Time
@@ -75,7 +79,7 @@
 
 func newConn(c net.Conn) *conn {
 	shared := kernel.NewSharedConn(c)
-	n := &conn{SharedConn: shared, r: newResponseReader(shared)}
+	n := &conn{SharedConn: shared, r: http1.NewReader(shared, maxResponseHeaderBytes)}
 	n.w = bufio.NewWriterSize(n, bufferBytes)
 	return n
 }
@@ -157,7 +161,7 @@
 
 // exchange sends the request and returns its response. reusable is set if the
 // connection can carry another request once the response body was read.
-func (c *conn) exchange(request *http.Request, a *vanillabarrow.Attempt, protocol vanillabarrow.TargetProtocol) (response *http.Response, class vanillabarrow.ResponseClass, reusable bool, err error) {
+func (c *conn) exchange(request *http.Request, a *vanillabarrow.Attempt, protocol vanillabarrow.TargetProtocol) (response *http1.Response, class vanillabarrow.ResponseClass, reusable bool, err error) {
 	w := &requestWriter{conn: c, request: request, done: make(chan error, 1)}
 	if request.ContentLength >= 0 && request.ContentLength <= maxInlineBodyBytes {
 		if err := c.send(request); err != nil {
@@ -173,7 +177,7 @@
 	}
 	select {
 	case sendErr := <-w.done:
-		reusable = sendErr == nil && isKeepAlive(response)
+		reusable = sendErr == nil && response.KeepAlive
 	default:
 		// The target responded before the complete request body was written. It
 		// would take the rest of the body for the next request.
@@ -183,20 +187,20 @@
 
 // receive reads responses until it finds the one to the request, and discards
 // those to other requests.
-func (c *conn) receive(request *http.Request, a *vanillabarrow.Attempt, protocol vanillabarrow.TargetProtocol) (*http.Response, vanillabarrow.ResponseClass, error) {
+func (c *conn) receive(request *http.Request, a *vanillabarrow.Attempt, protocol vanillabarrow.TargetProtocol) (*http1.Response, vanillabarrow.ResponseClass, error) {
 	for range maxMismatchedResponses {
-		response, err := c.r.readResponse(request)
+		response, err := c.r.ReadResponse(request.Method)
 		if err != nil {
 			return nil, 0, err
 		}
-		if response.StatusCode < http.StatusOK {
+		if response.Status < http.StatusOK {
 			continue
 		}
-		class := protocol.Classify(a, response.StatusCode, vanillabarrow.Header(response.Header))
+		class := protocol.Classify(a, response.Status, vanillabarrow.Header(response.Header))
 		if class != vanillabarrow.ResponseMismatched {
 			return response, class, nil
 		}
-		if !isKeepAlive(response) {
+		if !response.KeepAlive {
 			// No other response can follow.
 			return nil, 0, io.ErrUnexpectedEOF
 		}
@@ -233,11 +237,6 @@
 	return c.SetReadDeadline(time.Time{})
 }
 
-// isKeepAlive reports whether the connection stays open after the response.
-func isKeepAlive(response *http.Response) bool {
-	return !response.Close && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
-}
-
 // resetOnClose makes the close of a connection with an abandoned request send a
 // TCP reset, so that the target does not read the request from its receive
 // buffer.
--- a/internal/target/executor.go
+++ b/internal/target/executor.go
@@ -175,11 +175,11 @@
 		c.pool.discard(conn)
 		return nil, transportRefusal(ctx, err, conn.wrote.Load())
 	}
-	refused := isRefusal(class) || slices.Contains(notRunStatuses, httpResponse.StatusCode)
+	refused := isRefusal(class) || slices.Contains(notRunStatuses, httpResponse.Status)
 	if refused && !conn.addRefusal(a.Request.ID, c.protocol.NamesRequest(vanillabarrow.Header(httpResponse.Header))) {
 		reusable = false
 	}
-	body := &responseBody{ReadCloser: httpResponse.Body, conn: conn, pool: c.pool, stopInterrupt: stop, reusable: reusable, maxIdle: maxIdle(httpResponse.Header)}
+	body := &responseBody{Reader: httpResponse.Body, conn: conn, pool: c.pool, stopInterrupt: stop, reusable: reusable, maxIdle: maxIdle(httpResponse.Header)}
 	if err := classRefusal(class); err != nil {
 		// The body of an invalid response may have no end. After any other
 		// refusal the connection is reused if the body arrives soon.
@@ -194,10 +194,10 @@
 	}
 	body.complete = rest == nil
 	response := &vanillabarrow.Response{
-		Status: httpResponse.StatusCode,
+		Status: httpResponse.Status,
 		Header: responseHeader(httpResponse.Header),
 		Body:   start,
-		Size:   httpResponse.ContentLength,
+		Size:   httpResponse.Length,
 		Target: a.Target.Name,
 	}
 	if rest == nil {
@@ -246,18 +246,17 @@
 	if err := conn.send(request); err != nil {
 		return vanillabarrow.Health{}, err
 	}
-	response, err := conn.r.readResponse(request)
+	response, err := conn.r.ReadResponse(request.Method)
 	if err != nil {
 		return vanillabarrow.Health{}, err
 	}
-	// Closing the body would first read it to its end.
-	return c.protocol.Health(response.StatusCode, vanillabarrow.Header(response.Header)), nil
+	return c.protocol.Health(response.Status, vanillabarrow.Header(response.Header)), nil
 }
 
 // responseBody is the body of a response. Close returns a reusable connection to
 // the pool if the body was read completely and no input follows it.
 type responseBody struct {
-	io.ReadCloser
+	io.Reader
 	conn          *conn
 	pool          *pool
 	stopInterrupt func() bool
@@ -269,7 +268,7 @@
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	n, err := b.Reader.Read(p)
 	if errors.Is(err, io.EOF) {
 		b.complete = true
 	}
