Skip informational responses to health checks

What was seen: a target that sent 100 Continue or early hints before its 200 to a health check counted as unhealthy, because the first response decided.

Cause: the health check read one response; requests skip informational ones.

Change: health checks read responses as requests do, by conn.receive, which takes the classification as an argument.

--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -171,7 +171,9 @@
 	} else {
 		go w.run()
 	}
-	response, class, err = c.receive(request, a, protocol)
+	response, class, err = c.receive(request.Method, func(response *http1.Response) vanillabarrow.ResponseClass {
+		return protocol.Classify(a, response.Status, vanillabarrow.Header(response.Header))
+	})
 	if err != nil {
 		return nil, 0, false, err
 	}
@@ -185,18 +187,18 @@
 	return response, class, reusable, nil
 }
 
-// receive reads responses until it finds the one to the request, and discards
-// those to other requests.
-func (c *conn) receive(request *http.Request, a *vanillabarrow.Attempt, protocol vanillabarrow.TargetProtocol) (*http1.Response, vanillabarrow.ResponseClass, error) {
+// receive reads responses until it finds the one to the request. It discards
+// informational ones and those that classify takes for responses to other requests.
+func (c *conn) receive(method string, classify func(*http1.Response) vanillabarrow.ResponseClass) (*http1.Response, vanillabarrow.ResponseClass, error) {
 	for range maxMismatchedResponses {
-		response, err := c.r.ReadResponse(request.Method)
+		response, err := c.r.ReadResponse(method)
 		if err != nil {
 			return nil, 0, err
 		}
 		if response.Status < http.StatusOK {
 			continue
 		}
-		class := protocol.Classify(a, response.Status, vanillabarrow.Header(response.Header))
+		class := classify(response)
 		if class != vanillabarrow.ResponseMismatched {
 			return response, class, nil
 		}
--- a/internal/target/executor.go
+++ b/internal/target/executor.go
@@ -12,6 +12,7 @@
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/http1"
 	"github.com/vanillabarrow/vanillabarrow/internal/message"
 )
 
@@ -246,7 +247,9 @@
 	if err := conn.send(request); err != nil {
 		return vanillabarrow.Health{}, err
 	}
-	response, err := conn.r.ReadResponse(request.Method)
+	response, _, err := conn.receive(request.Method, func(*http1.Response) vanillabarrow.ResponseClass {
+		return vanillabarrow.ResponseValid
+	})
 	if err != nil {
 		return vanillabarrow.Health{}, err
 	}
--- a/internal/target/repeated_refusal_test.go
+++ b/internal/target/repeated_refusal_test.go
@@ -112,14 +112,41 @@
 	}
 }
 
+// setHealthPath gives the target a health check path.
+func setHealthPath(e *Executor) {
+	snapshot := e.cfg.Snapshot()
+	snapshot.Targets["t1"].Service = "desk"
+	snapshot.Services = map[string]*vanillabarrow.Service{"desk": {Name: "desk", HealthPath: "/health"}}
+}
+
+// TestHealthResponseAfterInformational guards against an informational response that is
+// taken for the response to a health check.
+func TestHealthResponseAfterInformational(t *testing.T) {
+	tests := map[string]struct {
+		response string
+		ok       bool
+	}{
+		"100 Continue first": {"HTTP/1.1 100 Continue\r\n\r\n" + matching, true},
+		"hints first":        {"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + matching, true},
+		"failure after it":   {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := startRawTarget(t, &rawTarget{responses: []string{tt.response}})
+			setHealthPath(e)
+			health, err := e.Check(t.Context())
+			require.NoError(t, err)
+			require.Equal(t, tt.ok, health.OK)
+		})
+	}
+}
+
 // TestHealthCheckUsesNewConnection checks that a late response to an earlier
 // request can't be taken for the response to a health check.
 func TestHealthCheckUsesNewConnection(t *testing.T) {
 	r := &rawTarget{responses: []string{matching}}
 	e := startRawTarget(t, r)
-	snapshot := e.cfg.Snapshot()
-	snapshot.Targets["t1"].Service = "desk"
-	snapshot.Services = map[string]*vanillabarrow.Service{"desk": {Name: "desk", HealthPath: "/health"}}
+	setHealthPath(e)
 	_, err := e.Execute(t.Context(), attemptWithID("one", nil))
 	require.NoError(t, err)
 	_, err = e.Check(t.Context())
