Refuse responses whose status is none of HTTP/1.1

What callers saw: a target in trouble sent a response with status 000 whose body looked like a response; the caller got that body as the response. One with status 600 or 999 was passed on.

Cause: net/http accepts any number of three digits, also with a sign, and any version. A status below 200 counted as informational, so that what followed its head was read as the next response.

Change: the reader of HTTP/1.1 refuses a status outside 100 to 599, a version other than HTTP/1, and 101, which no request asks for. This holds for requests and for health checks.

TestStatus goes through all numbers from 000 to 999.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -8,26 +8,38 @@
 	"strings"
 )
 
-// statusDigits is the number of digits of a status.
-const statusDigits = 3
+const (
+	// minStatus and maxStatus are the bounds of the statuses of RFC 9110, section 15.
+	minStatus = 100
+	maxStatus = 599
+	// statusDigits is the number of digits of a status.
+	statusDigits = 3
+)
 
 // malformed returns an error that is ErrMalformed.
 func malformed(format string, args ...any) error {
 	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, args...))
 }
 
+// IsFinalStatus reports whether a status is that of a final response, after which no
+// other response to the request follows.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // parseStatusLine returns the status and the minor version. Like net/http, it
 // tolerates further spaces before the status and a missing reason phrase.
 func parseStatusLine(line string) (status, minor int, err error) {
 	version, rest, _ := strings.Cut(line, " ")
-	_, minor, ok := http.ParseHTTPVersion(version)
-	if !ok {
-		return 0, 0, malformed("status line %q has no version of HTTP", line)
+	major, minor, ok := http.ParseHTTPVersion(version)
+	if !ok || major != 1 {
+		return 0, 0, malformed("status line %q has no version of HTTP/1", line)
 	}
 	digits, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	status, err = strconv.Atoi(digits)
-	if err != nil || len(digits) != statusDigits || status < 0 {
-		return 0, 0, malformed("status %q", digits)
+	if err != nil || len(digits) != statusDigits || status < minStatus || status > maxStatus {
+		return 0, 0, malformed("status %q is not one of HTTP", digits)
+	}
+	if status == http.StatusSwitchingProtocols {
+		return 0, 0, malformed("switch to a protocol that was not requested")
 	}
 	return status, minor, nil
 }
@@ -81,7 +93,7 @@
 
 // hasBody reports whether the response to a request with the method has a body.
 func hasBody(method string, status int) bool {
-	return method != http.MethodHead && status/100 != 1 && status != http.StatusNoContent && status != http.StatusNotModified
+	return method != http.MethodHead && status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
 // keepsAlive reports whether the server states that it keeps the connection open.
--- a/internal/http1/reader_test.go
+++ b/internal/http1/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -126,3 +127,18 @@
 		})
 	}
 }
+
+// TestStatus checks which of all numbers of three digits are statuses.
+func TestStatus(t *testing.T) {
+	for status := range 1000 {
+		input := fmt.Sprintf("HTTP/1.1 %03d Reason\r\nContent-Length: 0\r\n\r\n", status)
+		response, _, err := readAll(NewReader(strings.NewReader(input), maxHeadBytes), http.MethodGet)
+		if status < 100 || status > 599 || status == http.StatusSwitchingProtocols {
+			require.ErrorIs(t, err, ErrMalformed, status)
+			continue
+		}
+		require.NoError(t, err, status)
+		require.Equal(t, status, response.Status)
+		require.Equal(t, status >= 200, IsFinalStatus(status))
+	}
+}
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -195,7 +195,7 @@
 		if err != nil {
 			return nil, 0, err
 		}
-		if response.Status < http.StatusOK {
+		if !http1.IsFinalStatus(response.Status) {
 			continue
 		}
 		class := classify(response)
