Refuse responses with field names that are no tokens

What callers saw: a target in trouble sent a head with a blank in the name of a field, and it was passed on. With a blank before the colon of Content-Length or Transfer-Encoding the caller got other bytes as the body.

Cause: net/textproto accepts blanks in names, for the sake of old servers, and keeps such a field under another name, so that it does not frame the body.

Change: the reader of HTTP/1.1 checks that each name is a token, in heads, in those of informational responses and in trailers. Control bytes, DEL and bytes above 127 were refused before, by net/textproto; the tests keep that.

A head with all characters of a token is read as before.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -44,6 +44,36 @@
 	return status, minor, nil
 }
 
+// checkNames checks that the name of each field is a token. net/http accepts blanks
+// in names, and takes a field with a blank before its colon for another field.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !isToken(name) {
+			return malformed("field name %q is not a token", name)
+		}
+	}
+	return nil
+}
+
+// isToken reports whether s is a token of RFC 9110, section 5.6.2.
+func isToken(s string) bool {
+	for i := range len(s) {
+		if !tokenBytes[s[i]] {
+			return false
+		}
+	}
+	return s != ""
+}
+
+var tokenBytes = newTokenBytes()
+
+func newTokenBytes() (table [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		table[c] = true
+	}
+	return table
+}
+
 // framing is how the end of a body is announced: by chunks, by its length, or by
 // neither, so that it ends with the connection.
 type framing struct {
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -102,6 +102,9 @@
 	if err != nil {
 		return nil, unexpectedEOF(err)
 	}
+	if err := checkNames(http.Header(h)); err != nil {
+		return nil, err
+	}
 	return http.Header(h), nil
 }
 
--- a/internal/target/malformed_test.go
+++ b/internal/target/malformed_test.go
@@ -23,6 +23,21 @@
 	"version of HTTP/2":          "HTTP/2.0 200 OK\r\nX-Id: ID\r\nContent-Length: 46\r\n\r\n" + matching,
 	"version of HTTP/0":          "HTTP/0.9 200 OK\r\nX-Id: ID\r\nContent-Length: 46\r\n\r\n" + matching,
 	"empty line before the head": "\r\n" + matching,
+	"blank in a name":            "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX Field: a\r\nContent-Length: 46\r\n\r\n" + matching,
+	"blank after a name":         "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Field : a\r\nContent-Length: 46\r\n\r\n" + matching,
+	"blank after the length":     "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length : 2\r\n\r\nok" + matching,
+	"blank after the coding":     "HTTP/1.1 200 OK\r\nX-Id: ID\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"tab after a name":           "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Field\t: a\r\nContent-Length: 46\r\n\r\n" + matching,
+	"control byte in a name":     "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-\x01Field: a\r\nContent-Length: 46\r\n\r\n" + matching,
+	"NUL in a name":              "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-\x00Field: a\r\nContent-Length: 46\r\n\r\n" + matching,
+	"DEL in a name":              "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-\x7fField: a\r\nContent-Length: 46\r\n\r\n" + matching,
+	"name above 127":             "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-\xe9Field: a\r\nContent-Length: 46\r\n\r\n" + matching,
+	"delimiter in a name":        "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX(Field): a\r\nContent-Length: 46\r\n\r\n" + matching,
+	"no name":                    "HTTP/1.1 200 OK\r\nX-Id: ID\r\n: a\r\nContent-Length: 46\r\n\r\n" + matching,
+	"no colon":                   "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Field\r\nContent-Length: 46\r\n\r\n" + matching,
+	"fold before the first name": "HTTP/1.1 200 OK\r\n X-Id: ID\r\nContent-Length: 46\r\n\r\n" + matching,
+	"control byte in a value":    "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Field: a\rX-Other: b\r\nContent-Length: 46\r\n\r\n" + matching,
+	"blank in a name after 103":  "HTTP/1.1 103 Early Hints\r\nLi nk: a\r\n\r\n" + matching,
 }
 
 // TestMalformedResponse checks that a malformed response is not passed on, neither
@@ -34,7 +49,7 @@
 			target := &rawTarget{responses: []string{malformed, matching}}
 			e := startRawTarget(t, target)
 			response, err := e.Execute(t.Context(), attemptWithID("one", []byte("body")))
-			require.Nil(t, response)
+			require.Error(t, err, response)
 			requireTargetFailed(t, err)
 			response, err = e.Execute(t.Context(), attemptWithID("two", []byte("body")))
 			require.NoError(t, err)
@@ -44,6 +59,36 @@
 	}
 }
 
+// malformedBodies are bodies of responses in chunks that are malformed.
+var malformedBodies = map[string]string{
+	"size of a chunk":              "x\r\nok\r\n0\r\n\r\n",
+	"negative size":                "-2\r\nok\r\n0\r\n\r\n",
+	"end of a chunk":               "2\r\nokay\r\n0\r\n\r\n",
+	"blank in a name of a trailer": "2\r\nok\r\n0\r\nX Field: a\r\n\r\n",
+	"blank after a trailer's name": "2\r\nok\r\n0\r\nX-Field : a\r\n\r\n",
+	"control byte in a trailer":    "2\r\nok\r\n0\r\nX-\x01Field: a\r\n\r\n",
+	"no colon in a trailer":        "2\r\nok\r\n0\r\nX-Field\r\n\r\n",
+	"no trailer":                   "2\r\nok\r\n0\r\n" + matching,
+}
+
+// TestMalformedBody checks that a response with a malformed body is not passed on, that
+// it leaves open whether the request ran, and that its connection is not used again.
+func TestMalformedBody(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, malformed := range malformedBodies {
+		t.Run(name, func(t *testing.T) {
+			target := &rawTarget{responses: []string{head + malformed, matching}}
+			e := startRawTarget(t, target)
+			_, err := e.Execute(t.Context(), attemptWithID("one", []byte("body")))
+			require.Error(t, err)
+			requireTargetFailed(t, err)
+			_, err = e.Execute(t.Context(), attemptWithID("two", []byte("body")))
+			require.NoError(t, err)
+			require.EqualValues(t, 2, target.dialed.Load(), "connections")
+		})
+	}
+}
+
 // TestMalformedHealthResponse checks that a malformed response to a health check is
 // none of a healthy target.
 func TestMalformedHealthResponse(t *testing.T) {
