Refuse responses with a length beside a transfer coding

What callers could get: of a response with Content-Length and Transfer-Encoding, the body as chunks frame it, while the target may have meant the length; of a response of HTTP/1.0 with a transfer coding, the chunks as the body.

Cause: net/http lets the coding override the length, and ignores the coding in HTTP/1.0. RFC 9112, sections 6.1 and 6.3, calls such a message an error and its framing faulty.

Change: the reader of HTTP/1.1 refuses both if a body follows. After the head of a 204, a 304 or a response to HEAD none follows whatever the fields say, so these are read as before.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -83,26 +83,29 @@
 }
 
 // newFraming returns the framing that a header states, as in RFC 9112, section 6.3,
-// and removes the transfer coding from it. A transfer coding overrides a length, and
-// is ignored in a response of HTTP/1.0.
-func newFraming(h http.Header, minor int) (framing, error) {
+// and removes the transfer coding from it. If a body follows, a length beside a
+// transfer coding may be an attempt at response splitting, and a sender of HTTP/1.0
+// need not know transfer codings.
+func newFraming(h http.Header, minor int, bodyFollows bool) (framing, error) {
 	lengths, hasLength := h["Content-Length"]
 	codings, isCoded := h["Transfer-Encoding"]
 	delete(h, "Transfer-Encoding")
-	isCoded = isCoded && minor > 0
 	switch {
+	case isCoded && bodyFollows && hasLength:
+		return framing{}, malformed("both a length and a transfer coding")
+	case isCoded && bodyFollows && minor == 0:
+		return framing{}, malformed("transfer coding in a response of HTTP/1.0")
 	case isCoded && (len(codings) != 1 || !strings.EqualFold(codings[0], "chunked")):
 		return framing{}, malformed("unsupported transfer coding %q", codings)
-	case isCoded:
-		delete(h, "Content-Length")
-		return framing{chunked: true, length: -1}, nil
-	case hasLength:
-		length, err := parseLength(lengths)
-		h["Content-Length"] = lengths[:1]
-		return framing{length: length}, err
-	default:
-		return framing{length: -1}, nil
 	}
+	f := framing{chunked: isCoded, length: -1}
+	if !hasLength {
+		return f, nil
+	}
+	h["Content-Length"] = lengths[:1]
+	var err error
+	f.length, err = parseLength(lengths)
+	return f, err
 }
 
 // parseLength returns the length that all values state.
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -74,14 +74,15 @@
 	if err != nil {
 		return nil, err
 	}
-	f, err := newFraming(h, minor)
+	bodyFollows := hasBody(method, status)
+	f, err := newFraming(h, minor, bodyFollows)
 	if err != nil {
 		return nil, err
 	}
 	response := &Response{Status: status, Header: h, Length: f.length}
 	response.KeepAlive = keepsAlive(h, minor) && (f.chunked || f.length >= 0)
 	switch {
-	case !hasBody(method, status):
+	case !bodyFollows:
 		response.Body = http.NoBody
 		if method != http.MethodHead {
 			response.Length, response.KeepAlive = 0, keepsAlive(h, minor)
--- a/internal/http1/reader_test.go
+++ b/internal/http1/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -40,6 +41,7 @@
 	"HEAD with a transfer coding":  {http.MethodHead, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "", true},
 	"no content status":            {http.MethodGet, "HTTP/1.1 204 No Content\r\n\r\n", "", true},
 	"not modified with a length":   {http.MethodGet, "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", "", true},
+	"not modified with both":       {http.MethodGet, "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", "", true},
 	"informational":                {http.MethodGet, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", "", true},
 	"lowest final status":          {http.MethodGet, "HTTP/1.1 200 \r\nContent-Length: 0\r\n\r\n", "", true},
 	"highest status":               {http.MethodGet, "HTTP/1.1 599 Odd\r\nContent-Length: 0\r\n\r\n", "", true},
@@ -142,3 +144,17 @@
 		require.Equal(t, status >= 200, IsFinalStatus(status))
 	}
 }
+
+// FuzzReader checks that what is read without an error is what net/http reads.
+func FuzzReader(f *testing.F) {
+	for _, tt := range wholeResponses {
+		f.Add(tt.method, []byte(tt.response+next))
+	}
+	f.Fuzz(func(t *testing.T, method string, input []byte) {
+		response, body, err := readAll(NewReader(bytes.NewReader(input), maxHeadBytes), method)
+		if err != nil {
+			return
+		}
+		requireAgreement(t, response, body, method, string(input))
+	})
+}
