Do not promise what a refusal that breaks off states

What callers could get: a target in trouble refused a request with a whole head and broke off in the body. The caller got 503, the promise that the request has not run and never will, from a response that is not whole.

Cause: the body of a refusal was read only to keep the connection. Whether it was complete decided on the connection, not on the refusal.

Change: a refusal whose body breaks off, is reset or has malformed chunks leaves open whether the request ran (502), as any other broken response does. One whose body is slow or too large is still a refusal, since it is not known to be broken.

A refusal without a length that ends with its connection is one as before.

--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -226,17 +227,22 @@
 	}
 }
 
-// discardRefusalBody reads the body of a refusal to its end, so that the connection
-// can still be used. It fails if the body is not complete within
-// refusalBodyTimeout.
-func (c *conn) discardRefusalBody(body io.Reader) error {
+// discardRefusalBody reads the body of a refusal, and reports whether it is complete, so
+// that the connection can still be used. An error means that the body broke off or is
+// malformed. One that is too large, or not complete within refusalBodyTimeout, is
+// neither complete nor an error.
+func (c *conn) discardRefusalBody(body io.Reader) (complete bool, err error) {
 	if err := c.SetReadDeadline(time.Now().Add(refusalBodyTimeout)); err != nil {
-		return err
+		return false, err
 	}
-	if err := discardBody(body); err != nil {
-		return err
+	err = discardBody(body)
+	if errors.Is(err, errDiscardedTooLarge) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
 	}
-	return c.SetReadDeadline(time.Time{})
+	return true, c.SetReadDeadline(time.Time{})
 }
 
 // resetOnClose makes the close of a connection with an abandoned request send a
--- a/internal/target/executor.go
+++ b/internal/target/executor.go
@@ -182,9 +182,13 @@
 	}
 	body := &responseBody{Reader: httpResponse.Body, conn: conn, pool: c.pool, stopInterrupt: stop, reusable: reusable, maxIdle: maxIdle(httpResponse.Header)}
 	if err := classRefusal(class); err != nil {
-		// The body of an invalid response may have no end. After any other
-		// refusal the connection is reused if the body arrives soon.
-		body.complete = class != vanillabarrow.ResponseInvalid && conn.discardRefusalBody(httpResponse.Body) == nil
+		if isRefusal(class) {
+			var brokenErr error
+			body.complete, brokenErr = conn.discardRefusalBody(httpResponse.Body)
+			if brokenErr != nil {
+				err = transportRefusal(ctx, brokenErr, true)
+			}
+		}
 		_ = body.Close()
 		return nil, err
 	}
