Refuse malformed responses of other nodes and those without a length

What callers could get: from a node in trouble, a response with a status outside of the protocol or with a blank in a field's name, a part of a body as the whole one when the node was killed or the connection was reset beside an upload, and a promise from such a refusal. From a control message, a state of an attempt or items that were not what the node sent.

Cause: net/http's client accepts such statuses and names, as its reader for targets did, and a body without a length that ends with the connection. A close in it can't be told from its end, and a reset can be taken by the write of the request.

Change: responses to attempts, queries, key releases, allowances, relay and discovery are checked once net/http has read their head (http1.CheckResponse). A body that ends with its connection is refused: nodes send each with a length or in chunks. The response counts as lost and its connection is closed, also if it has no body and net/http would have kept it. The tests of endless bodies stated no length for some; they now send a chunk without end, so that the limit of the size is tested as before, and one case without a length.

--- /dev/null
+++ b/internal/http1/transport.go
@@ -0,0 +1,66 @@
+package http1
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// CheckResponse checks a response that net/http has read for what its client accepts
+// although it is malformed: its status, and the names of its fields. It also checks
+// responses of HTTP/2, to which the same rules apply.
+func CheckResponse(response *http.Response) error {
+	if !IsFinalStatus(response.StatusCode) {
+		return malformed("status %q is not one of a final response", response.Status)
+	}
+	return checkNames(response.Header)
+}
+
+// EndsWithConnection reports whether a body that net/http reads ends with its
+// connection. A close within such a body can't be told from its end.
+func EndsWithConnection(response *http.Response) bool {
+	if response.Request != nil && !hasBody(response.Request.Method, response.StatusCode) {
+		return false
+	}
+	return response.ProtoMajor == 1 && response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed
+}
+
+// Transport is a transport of net/http whose responses are checked by CheckResponse.
+// The connection of a malformed one is closed.
+type Transport struct {
+	http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return RoundTrip(t.RoundTripper, r, CheckResponse)
+}
+
+// CloseIdleConnections closes the idle connections of the transport.
+func (t *Transport) CloseIdleConnections() {
+	if c, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
+// RoundTrip sends a request by a transport of net/http and checks the response. The
+// connection of one that the check refuses is closed, as net/http would use it again
+// if the response has no body.
+func RoundTrip(transport http.RoundTripper, r *http.Request, check func(*http.Response) error) (*http.Response, error) {
+	var conn net.Conn
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+	})
+	response, err := transport.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := check(response); err != nil {
+		_ = response.Body.Close()
+		if conn != nil {
+			_ = conn.Close()
+		}
+		return nil, err
+	}
+	return response, nil
+}
--- /dev/null
+++ b/internal/peer/broken_response_test.go
@@ -0,0 +1,228 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+)
+
+const (
+	// finishedHead is the head of a gate's response, without how its body ends.
+	finishedHead = "HTTP/1.1 200 OK\r\nVb-Attempt: attempt-1\r\nVb-Verdict: finished\r\n"
+	refusalHead  = "HTTP/1.1 503 Service Unavailable\r\nVb-Attempt: attempt-1\r\nVb-Verdict: not-run\r\nVb-Reason: shed\r\n"
+	finished     = finishedHead + "Content-Length: 2\r\n\r\nok"
+)
+
+// rawNode responds to the requests of each connection with the same bytes. It responds
+// to a request that expects 100 Continue before it reads the body.
+type rawNode struct {
+	listener net.Listener
+	response string
+	// keeps makes the node keep a connection open after a response.
+	keeps  bool
+	dialed atomic.Int64
+}
+
+func startRawNode(t *testing.T, n *rawNode) string {
+	var err error
+	n.listener, err = net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = n.listener.Close() })
+	go n.run()
+	return n.listener.Addr().String()
+}
+
+func (n *rawNode) run() {
+	for {
+		c, err := n.listener.Accept()
+		if err != nil {
+			return
+		}
+		n.dialed.Add(1)
+		s := &rawNodeSession{node: n, conn: c}
+		go s.run()
+	}
+}
+
+// rawNodeSession is one connection to a rawNode.
+type rawNodeSession struct {
+	node *rawNode
+	conn net.Conn
+}
+
+func (s *rawNodeSession) run() {
+	defer func() { _ = s.conn.Close() }()
+	r := bufio.NewReader(s.conn)
+	for {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if request.Header.Get("Expect") == "" {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		_, _ = io.WriteString(s.conn, s.node.response)
+		if !s.node.keeps {
+			return
+		}
+	}
+}
+
+// brokenResponses are responses of a node that break off or are malformed.
+var brokenResponses = map[string]string{
+	"breaks off in its head":     finishedHead,
+	"breaks off in its body":     finishedHead + "Content-Length: 9\r\n\r\nok",
+	"breaks off in a chunk":      finishedHead + "Transfer-Encoding: chunked\r\n\r\n9\r\nok",
+	"breaks off after a chunk":   finishedHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+	"malformed chunk":            finishedHead + "Transfer-Encoding: chunked\r\n\r\nx\r\nok\r\n0\r\n\r\n",
+	"malformed trailer":          finishedHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A\r\n\r\n",
+	"ends with its connection":   finishedHead + "\r\nok",
+	"status 000":                 strings.Replace(finished, "200", "000", 1),
+	"status 000 with a response": "HTTP/1.1 000 None\r\n\r\n" + finished,
+	"status 600":                 strings.Replace(finished, "200", "600", 1),
+	"status with a sign":         strings.Replace(finished, "200", "+20", 1),
+	"protocol not requested":     strings.Replace(finished, "200 OK", "101 Switching Protocols", 1),
+	"blank in a name":            finishedHead + "X Field: a\r\nContent-Length: 2\r\n\r\nok",
+	"blank after the length":     finishedHead + "Content-Length : 2\r\n\r\nok",
+	"no colon":                   finishedHead + "X-Field\r\nContent-Length: 2\r\n\r\nok",
+	"different lengths":          finishedHead + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+	"refusal with status 000":    strings.Replace(refusalHead, "503", "000", 1) + "Content-Length: 0\r\n\r\n",
+	"refusal with a blank":       refusalHead + "X Field: a\r\nContent-Length: 0\r\n\r\n",
+	"refusal without a length":   refusalHead + "\r\n",
+}
+
+// TestBrokenResponseOfGate checks that a broken response of a gate is neither passed on
+// nor taken for a promise, and that its connection is not used again.
+func TestBrokenResponseOfGate(t *testing.T) {
+	methods := map[string]vanillabarrow.Request{
+		"no body": {Method: http.MethodGet, Path: "/"},
+	}
+	for name, response := range brokenResponses {
+		for method, request := range methods {
+			t.Run(name+"/"+method, func(t *testing.T) {
+				node := &rawNode{response: response}
+				address := startRawNode(t, node)
+				f := NewForwarder("vm", &recordingObserver{}, kernel.NewTraffic())
+				defer f.Close()
+				for range 2 {
+					r := request
+					response, err := f.Forward(t.Context(), &vanillabarrow.Attempt{
+						ID: "attempt-1", Address: address, Target: &vanillabarrow.Target{Name: "t1"}, Deadline: time.Now().Add(time.Minute), Request: &r,
+					})
+					require.Error(t, err, response)
+					require.Equal(t, vanillabarrow.VerdictMayHaveRun, vanillabarrow.AsRefusal(err).Verdict, err)
+				}
+				require.EqualValues(t, 2, node.dialed.Load(), "connections")
+			})
+		}
+	}
+}
+
+// TestMalformedResponseClosesConnection checks that the connection of a malformed
+// response is not used again although the response has no body to read.
+func TestMalformedResponseClosesConnection(t *testing.T) {
+	const malformed = "HTTP/1.1 200 OK\r\nVb-Attempt: attempt-1\r\nVb-Verdict: finished\r\nX Field: a\r\nContent-Length: 0\r\n\r\n"
+	traffic := kernel.NewTraffic()
+	forwarder := NewForwarder("vm", &recordingObserver{}, traffic)
+	releaser := NewKeyReleaser(traffic)
+	allowances := NewAllowanceClient(traffic)
+	tests := map[string]func(ctx context.Context, address string) error{
+		"attempt": func(ctx context.Context, address string) error {
+			_, err := forwarder.Forward(ctx, &vanillabarrow.Attempt{
+				ID: "attempt-1", Address: address, Target: &vanillabarrow.Target{Name: "t1"}, Deadline: time.Now().Add(time.Minute),
+				Request: &vanillabarrow.Request{Method: http.MethodGet, Path: "/"},
+			})
+			return err
+		},
+		"key": func(ctx context.Context, address string) error {
+			_, err := releaser.ReleaseKey(ctx, address, vanillabarrow.KeyReleaseRequest{})
+			return err
+		},
+		"allowances": func(ctx context.Context, address string) error {
+			_, err := allowances.Report(ctx, address, vanillabarrow.AllowanceReport{})
+			return err
+		},
+	}
+	for name, call := range tests {
+		t.Run(name, func(t *testing.T) {
+			node := &rawNode{response: malformed, keeps: true}
+			address := startRawNode(t, node)
+			for range 2 {
+				require.ErrorContains(t, call(t.Context(), address), "not a token")
+			}
+			require.EqualValues(t, 2, node.dialed.Load(), "connections")
+		})
+	}
+}
+
+// TestBrokenControlResponse checks that a broken response to a control message is an
+// error, so that neither an attempt's state nor items are taken from it.
+func TestBrokenControlResponse(t *testing.T) {
+	const (
+		message = "Content-Type: application/proto\r\n"
+		stream  = "Content-Type: application/connect+proto\r\n"
+		// body is a message whose first field, of a number, is 2.
+		body = "\x08\x02"
+		// envelopes are an empty message and the end of a stream.
+		envelopes = "\x00\x00\x00\x00\x00\x02\x00\x00\x00\x02{}"
+	)
+	traffic := kernel.NewTraffic()
+	discovery := NewDiscoveryClient("vm", traffic)
+	attempt := &vanillabarrow.Attempt{ID: "attempt-1", Target: &vanillabarrow.Target{Name: "t1"}}
+	calls := map[string]struct {
+		do                func(ctx context.Context, address string) error
+		contentType, body string
+	}{
+		"query": {func(ctx context.Context, address string) error {
+			a := *attempt
+			a.Address = address
+			_, err := NewForwarder("vm", &recordingObserver{}, traffic).QueryAttempt(ctx, &a)
+			return err
+		}, message, body},
+		"key": {func(ctx context.Context, address string) error {
+			_, err := NewKeyReleaser(traffic).ReleaseKey(ctx, address, vanillabarrow.KeyReleaseRequest{})
+			return err
+		}, message, body},
+		"pull": {func(ctx context.Context, address string) error {
+			_, err := discovery.Pull(ctx, address, vanillabarrow.ItemRequest{})
+			return err
+		}, message, body},
+		"follow": {func(ctx context.Context, address string) error {
+			return discovery.Follow(ctx, address, vanillabarrow.ItemRequest{}, func(*vanillabarrow.Delta) error { return nil })
+		}, stream, envelopes},
+	}
+	heads := map[string]struct {
+		status, fields string
+		// cut is the number of bytes that are missing at the end.
+		cut int
+	}{
+		"breaks off":               {"200 OK", "Content-Length: %d\r\n", 1},
+		"ends with its connection": {"200 OK", "", 0},
+		"status 000":               {"000 None", "Content-Length: %d\r\n", 0},
+		"status 600":               {"600 High", "Content-Length: %d\r\n", 0},
+		"blank in a name":          {"200 OK", "X Field: a\r\nContent-Length: %d\r\n", 0},
+		"blank after the length":   {"200 OK", "Content-Length : %d\r\n", 0},
+	}
+	for callName, call := range calls {
+		for name, head := range heads {
+			t.Run(callName+"/"+name, func(t *testing.T) {
+				fields := strings.ReplaceAll(head.fields, "%d", strconv.Itoa(len(call.body)))
+				response := "HTTP/1.1 " + head.status + "\r\n" + call.contentType + fields + "\r\n" + call.body
+				address := startRawNode(t, &rawNode{response: response[:len(response)-head.cut]})
+				require.Error(t, call.do(t.Context(), address))
+			})
+		}
+	}
+}
--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -125,6 +125,10 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
+// endlessChunk is the end of a head and the size of a chunk, of which an endless server
+// sends a part only.
+const endlessChunk = "Transfer-Encoding: chunked\r\n\r\nfffffffffff\r\n"
+
 // controlCall is a call to another node whose response has at most maxBytes.
 type controlCall struct {
 	maxBytes int
@@ -166,9 +170,10 @@
 		// limit is 0 for the limit of the call's body.
 		limit int
 	}{
-		"message":       {"HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n\r\n", "x", 0},
-		"error":         {"HTTP/1.1 500 Failed\r\nContent-Type: application/json\r\n\r\n", "x", 0},
-		"other type":    {"HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n\r\n", "x", 0},
+		"message":       {"HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n" + endlessChunk, "x", 0},
+		"error":         {"HTTP/1.1 500 Failed\r\nContent-Type: application/json\r\n" + endlessChunk, "x", 0},
+		"other type":    {"HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n" + endlessChunk, "x", 0},
+		"no length":     {"HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n\r\n", "x", maxResponseHeaderBytes},
 		"header field":  {"HTTP/1.1 200 OK\r\nX-A: ", "x", maxResponseHeaderBytes},
 		"header fields": {"HTTP/1.1 200 OK\r\n", "X-A: 1\r\n", maxResponseHeaderBytes},
 		"1xx responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", maxResponseHeaderBytes},
@@ -191,7 +196,7 @@
 // TestEndlessMessageOnStream checks that a node closes a stream on which a
 // message above the limit arrives.
 func TestEndlessMessageOnStream(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/connect+proto\r\n\r\n"
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/connect+proto\r\n" + endlessChunk
 	tests := map[string]*endlessServer{
 		"first message":             {start: head + "\x00\xff\xff\xff\xff", repeat: "x"},
 		"message after another one": {start: head + "\x00\x00\x00\x00\x00\x00\xff\xff\xff\xff", repeat: "x"},
@@ -354,7 +359,7 @@
 		"header fields":             {start: own, repeat: "X-A: 1\r\n"},
 		"1xx responses":             {repeat: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"},
 		"100 Continue":              {repeat: "HTTP/1.1 100 Continue\r\n\r\n"},
-		"another response":          {start: "HTTP/1.1 200 OK\r\n\r\n", repeat: "x"},
+		"another response":          {start: "HTTP/1.1 200 OK\r\n" + endlessChunk, repeat: "x"},
 		"refusal":                   {start: own + "Vb-Verdict: not-run\r\n\r\n", repeat: "x"},
 		"refusal with a length":     {start: own + "Vb-Verdict: not-run\r\nContent-Length: 1000000000000\r\n\r\n", repeat: "x"},
 		"refusal in chunks":         {start: own + "Vb-Verdict: not-run\r\nTransfer-Encoding: chunked\r\n\r\n", repeat: "4\r\nabcd\r\n"},
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -110,56 +110,69 @@
 
 // Forward implements vanillabarrow.Forwarder.
 func (f *Forwarder) Forward(ctx context.Context, a *vanillabarrow.Attempt) (*vanillabarrow.Response, error) {
-	var mayHaveRun atomic.Bool
+	t := &attemptTrace{attempt: a}
 	a.Sending.Hold()
-	request, err := f.request(httptrace.WithClientTrace(ctx, newTrace(a, &mayHaveRun)), a)
+	request, err := f.request(httptrace.WithClientTrace(ctx, t.hooks()), a)
 	if err != nil {
 		return nil, vanillabarrow.NotRun(vanillabarrow.ReasonConnectionFailed, err.Error())
 	}
 	httpResponse, err := f.client.Do(request)
 	if err != nil {
-		return nil, transportRefusal(ctx, err, mayHaveRun.Load())
+		return nil, transportRefusal(ctx, err, t.sent.Load())
+	}
+	if err := checkResponse(httpResponse); err != nil {
+		_ = httpResponse.Body.Close()
+		_ = t.conn.Close()
+		return nil, transportRefusal(ctx, err, true)
 	}
 	return f.readResponse(ctx, a, httpResponse)
 }
 
-// newTrace returns the hooks of an attempt. They set mayHaveRun once enough of the
-// request may have been sent for the gate to run it, and the connection's
-// TCP_USER_TIMEOUT. Errors from the latter are left to the request, since they mean
-// that the connection is closed. They close the connection of an abandoned attempt
-// before it is sent.
-func newTrace(a *vanillabarrow.Attempt, mayHaveRun *atomic.Bool) *httptrace.ClientTrace {
-	var conn net.Conn
-	r := a.Request
-	begin := func() {
-		if !a.Sending.Begin() {
-			_ = conn.Close()
-			return
-		}
-		mayHaveRun.Store(true)
-	}
+// attemptTrace follows an attempt on its connection. It closes the connection of an
+// abandoned attempt before it is sent. Errors from setting TCP_USER_TIMEOUT are left to
+// the request, since they mean that the connection is closed.
+type attemptTrace struct {
+	attempt *vanillabarrow.Attempt
+	conn    net.Conn
+	// sent is set once enough of the request may have been sent for the gate to run it.
+	sent atomic.Bool
+}
+
+func (t *attemptTrace) hooks() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			conn = info.Conn
-			if info.Reused {
-				_ = kernel.SetConnTCPUserTimeout(conn, clientTCPUserTimeout)
-			}
-			// A gate that has not yet requested the body with 100 Continue can't have
-			// run the request. Without that exchange, any request on an open
-			// connection may have been sent.
-			if !expectsContinue(r) {
-				begin()
-			}
-		},
-		Got100Continue: func() {
-			begin()
-			// A gate that passes a large body on to a slow target may stop reading
-			// for longer than clientTCPUserTimeout. If it becomes unreachable
-			// meanwhile, the attempt ends at its deadline at the latest.
-			if exceedsBuffer(r) {
-				_ = kernel.SetConnTCPUserTimeout(conn, 0)
-			}
-		},
+		GotConn:        t.gotConn,
+		Got100Continue: t.got100Continue,
+	}
+}
+
+func (t *attemptTrace) begin() {
+	if !t.attempt.Sending.Begin() {
+		_ = t.conn.Close()
+		return
+	}
+	t.sent.Store(true)
+}
+
+func (t *attemptTrace) gotConn(info httptrace.GotConnInfo) {
+	t.conn = info.Conn
+	if info.Reused {
+		_ = kernel.SetConnTCPUserTimeout(t.conn, clientTCPUserTimeout)
+	}
+	// A gate that has not yet requested the body with 100 Continue can't have run the
+	// request. Without that exchange, any request on an open connection may have been
+	// sent.
+	if !expectsContinue(t.attempt.Request) {
+		t.begin()
+	}
+}
+
+func (t *attemptTrace) got100Continue() {
+	t.begin()
+	// A gate that passes a large body on to a slow target may stop reading for longer
+	// than clientTCPUserTimeout. If it becomes unreachable meanwhile, the attempt ends at
+	// its deadline at the latest.
+	if exceedsBuffer(t.attempt.Request) {
+		_ = kernel.SetConnTCPUserTimeout(t.conn, 0)
 	}
 }
 
--- a/internal/peer/limit.go
+++ b/internal/peer/limit.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/http1"
 )
 
 // maxControlResponseBytes is the maximum size of a response about one attempt or
@@ -20,9 +22,25 @@
 // largest size that can't be compressed.
 const maxUpdateBytes = 16 << 20
 
-// limitedTransport limits the size of response bodies to maxBytes. connect alone
-// would limit the size of the messages that it decodes, but read the rest of a
-// longer response to its end.
+// errNoLength is returned for a response whose body ends with its connection.
+var errNoLength = errors.New("the response ends with its connection")
+
+// checkResponse checks a response of another node. Nodes send each body with a length or
+// in chunks. Of a body that ends with its connection a part would look complete if the
+// other node was killed.
+func checkResponse(response *http.Response) error {
+	if err := http1.CheckResponse(response); err != nil {
+		return err
+	}
+	if http1.EndsWithConnection(response) {
+		return errNoLength
+	}
+	return nil
+}
+
+// limitedTransport checks responses and limits the size of their bodies to maxBytes.
+// connect alone would limit the size of the messages that it decodes, but read the rest
+// of a longer response to its end.
 type limitedTransport struct {
 	http.RoundTripper
 	maxBytes int64
@@ -30,7 +48,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := t.RoundTripper.RoundTrip(r)
+	response, err := http1.RoundTrip(t.RoundTripper, r, checkResponse)
 	if err != nil {
 		return nil, err
 	}
@@ -41,8 +59,8 @@
 // errMessageTooLarge is returned when a message on a stream exceeds the limit.
 var errMessageTooLarge = errors.New("the message on the stream exceeds the size limit")
 
-// streamTransport limits the size of each message on a stream to maxBytes. connect
-// alone would refuse a larger message, but read it to its end first.
+// streamTransport checks responses and limits the size of each message on a stream to
+// maxBytes. connect alone would refuse a larger message, but read it to its end first.
 type streamTransport struct {
 	http.RoundTripper
 	maxBytes uint32
@@ -50,7 +68,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *streamTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := t.RoundTripper.RoundTrip(r)
+	response, err := http1.RoundTrip(t.RoundTripper, r, checkResponse)
 	if err != nil {
 		return nil, err
 	}
