Do not take a broken response of a gate for a proof that nothing ran

What callers could get: 503, the promise that the request has not run, when a gate's refusal broke off in its body, or when a gate whose 100 Continue was awaited sent a broken response instead.

Cause: the body of a refusal was not read. A request whose body was not sent counted as not run however its response ended.

Change: the body of a refusal is read; gates send none or a line of text. Once a part of a response other than 100 Continue has arrived, an attempt without a complete response may have run. If a connection ends without a response, a body that was not sent still proves that nothing ran.

--- a/internal/peer/broken_response_test.go
+++ b/internal/peer/broken_response_test.go
@@ -98,16 +98,19 @@
 	"blank after the length":     finishedHead + "Content-Length : 2\r\n\r\nok",
 	"no colon":                   finishedHead + "X-Field\r\nContent-Length: 2\r\n\r\nok",
 	"different lengths":          finishedHead + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+	"refusal breaks off":         refusalHead + "Content-Length: 9\r\n\r\nok",
 	"refusal with status 000":    strings.Replace(refusalHead, "503", "000", 1) + "Content-Length: 0\r\n\r\n",
 	"refusal with a blank":       refusalHead + "X Field: a\r\nContent-Length: 0\r\n\r\n",
 	"refusal without a length":   refusalHead + "\r\n",
 }
 
 // TestBrokenResponseOfGate checks that a broken response of a gate is neither passed on
-// nor taken for a promise, and that its connection is not used again.
+// nor taken for a promise, also if the gate did not request the body, and that its
+// connection is not used again.
 func TestBrokenResponseOfGate(t *testing.T) {
 	methods := map[string]vanillabarrow.Request{
-		"no body": {Method: http.MethodGet, Path: "/"},
+		"no body":        {Method: http.MethodGet, Path: "/"},
+		"body held back": {Method: http.MethodPost, Path: "/", Body: []byte("body"), Size: 4},
 	}
 	for name, response := range brokenResponses {
 		for method, request := range methods {
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -50,6 +50,8 @@
 	expectContinueTimeout = time.Duration(math.MaxInt64)
 	// maxResponseHeaderBytes is the maximum size of a response header.
 	maxResponseHeaderBytes = 256 << 10
+	// maxRefusalBodyBytes is how much is read of the body of a refusal.
+	maxRefusalBodyBytes = 4 << 10
 )
 
 // Observer receives the state that other nodes report with forwarded attempts
@@ -118,7 +120,7 @@
 	}
 	httpResponse, err := f.client.Do(request)
 	if err != nil {
-		return nil, transportRefusal(ctx, err, t.sent.Load())
+		return nil, transportRefusal(ctx, err, t.mayHaveRun())
 	}
 	if err := checkResponse(httpResponse); err != nil {
 		_ = httpResponse.Body.Close()
@@ -136,15 +138,22 @@
 	conn    net.Conn
 	// sent is set once enough of the request may have been sent for the gate to run it.
 	sent atomic.Bool
+	// answered is set once part of a response other than 100 Continue has arrived.
+	answered atomic.Bool
 }
 
 func (t *attemptTrace) hooks() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn:        t.gotConn,
-		Got100Continue: t.got100Continue,
+		GotConn:              t.gotConn,
+		Got100Continue:       t.got100Continue,
+		GotFirstResponseByte: func() { t.answered.Store(true) },
 	}
 }
 
+// mayHaveRun reports whether the gate may have run the request, if there is no complete
+// response. One that is broken proves nothing, even if the body was not sent.
+func (t *attemptTrace) mayHaveRun() bool { return t.sent.Load() || t.answered.Load() }
+
 func (t *attemptTrace) begin() {
 	if !t.attempt.Sending.Begin() {
 		_ = t.conn.Close()
@@ -167,6 +176,7 @@
 }
 
 func (t *attemptTrace) got100Continue() {
+	t.answered.Store(false)
 	t.begin()
 	// A gate that passes a large body on to a slow target may stop reading for longer
 	// than clientTCPUserTimeout. If it becomes unreachable meanwhile, the attempt ends at
@@ -239,7 +249,11 @@
 	}
 	f.observe(a, h)
 	if h.Get(headerVerdict) != vanillabarrow.VerdictFinished.String() {
+		err := discardRefusalBody(httpResponse.Body)
 		_ = httpResponse.Body.Close()
+		if err != nil {
+			return nil, transportRefusal(ctx, err, true)
+		}
 		return nil, readRefusal(h)
 	}
 	start, stream, err := message.SplitBody(httpResponse.Body, MaxBufferedBytes)
@@ -262,6 +276,16 @@
 	return response, nil
 }
 
+// discardRefusalBody reads the body of a refusal, which gates send without one or with a
+// line of text. The error is set if it breaks off.
+func discardRefusalBody(body io.Reader) error {
+	_, err := io.CopyN(io.Discard, body, maxRefusalBodyBytes)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 // observe passes the state in a response's header to the observer.
 func (f *Forwarder) observe(a *vanillabarrow.Attempt, h http.Header) {
 	if load, ok := readLoad(h, a.Request); ok {
