--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -1,11 +1,15 @@
 package http1
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 )
 
+// errNotDelimited is returned for a response whose body ends with its connection.
+var errNotDelimited = errors.New("the response ends with its connection")
+
 // CheckResponse checks a response that net/http has read for what its client accepts
 // although it is malformed: its status, and the names of its fields. It also checks
 // responses of HTTP/2, to which the same rules apply.
@@ -16,24 +20,39 @@
 	return checkNames(response.Header)
 }
 
-// EndsWithConnection reports whether a body that net/http reads ends with its
-// connection. A close within such a body can't be told from its end.
-func EndsWithConnection(response *http.Response) bool {
+// CheckDelimited is CheckResponse for servers that send each body with a length or in
+// chunks. Of a body that ends with its connection, a part looks complete if the server
+// was killed within it.
+func CheckDelimited(response *http.Response) error {
+	if err := CheckResponse(response); err != nil {
+		return err
+	}
+	if endsWithConnection(response) {
+		return errNotDelimited
+	}
+	return nil
+}
+
+// endsWithConnection reports whether a body that net/http reads ends with its
+// connection.
+func endsWithConnection(response *http.Response) bool {
 	if response.Request != nil && !hasBody(response.Request.Method, response.StatusCode) {
 		return false
 	}
 	return response.ProtoMajor == 1 && response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed
 }
 
-// Transport is a transport of net/http whose responses are checked by CheckResponse.
-// The connection of a malformed one is closed.
+// Transport is a transport of net/http with a check of its responses. The connection
+// of one that the check refuses is closed.
 type Transport struct {
 	http.RoundTripper
+	// Check is CheckResponse or CheckDelimited.
+	Check func(*http.Response) error
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	return RoundTrip(t.RoundTripper, r, CheckResponse)
+	return RoundTrip(t.RoundTripper, r, t.Check)
 }
 
 // CloseIdleConnections closes the idle connections of the transport.
--- a/internal/peer/broken_response_test.go
+++ b/internal/peer/broken_response_test.go
@@ -1,14 +1,10 @@
 package peer
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +12,7 @@
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/standin"
 )
 
 const (
@@ -25,59 +22,11 @@
 	finished     = finishedHead + "Content-Length: 2\r\n\r\nok"
 )
 
-// rawNode responds to the requests of each connection with the same bytes. It responds
-// to a request that expects 100 Continue before it reads the body.
-type rawNode struct {
-	listener net.Listener
-	response string
-	// keeps makes the node keep a connection open after a response.
-	keeps  bool
-	dialed atomic.Int64
-}
-
-func startRawNode(t *testing.T, n *rawNode) string {
-	var err error
-	n.listener, err = net.Listen("tcp", "127.0.0.1:0")
+func startRawNode(t *testing.T, cfg standin.RawConfig) *standin.RawServer {
+	node, err := standin.NewRawServer(cfg)
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = n.listener.Close() })
-	go n.run()
-	return n.listener.Addr().String()
-}
-
-func (n *rawNode) run() {
-	for {
-		c, err := n.listener.Accept()
-		if err != nil {
-			return
-		}
-		n.dialed.Add(1)
-		s := &rawNodeSession{node: n, conn: c}
-		go s.run()
-	}
-}
-
-// rawNodeSession is one connection to a rawNode.
-type rawNodeSession struct {
-	node *rawNode
-	conn net.Conn
-}
-
-func (s *rawNodeSession) run() {
-	defer func() { _ = s.conn.Close() }()
-	r := bufio.NewReader(s.conn)
-	for {
-		request, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		if request.Header.Get("Expect") == "" {
-			_, _ = io.Copy(io.Discard, request.Body)
-		}
-		_, _ = io.WriteString(s.conn, s.node.response)
-		if !s.node.keeps {
-			return
-		}
-	}
+	t.Cleanup(func() { _ = node.Close() })
+	return node
 }
 
 // brokenResponses are responses of a node that break off or are malformed.
@@ -115,19 +64,18 @@
 	for name, response := range brokenResponses {
 		for method, request := range methods {
 			t.Run(name+"/"+method, func(t *testing.T) {
-				node := &rawNode{response: response}
-				address := startRawNode(t, node)
+				node := startRawNode(t, standin.RawConfig{Response: response})
 				f := NewForwarder("vm", &recordingObserver{}, kernel.NewTraffic())
 				defer f.Close()
 				for range 2 {
 					r := request
 					response, err := f.Forward(t.Context(), &vanillabarrow.Attempt{
-						ID: "attempt-1", Address: address, Target: &vanillabarrow.Target{Name: "t1"}, Deadline: time.Now().Add(time.Minute), Request: &r,
+						ID: "attempt-1", Address: node.Address(), Target: &vanillabarrow.Target{Name: "t1"}, Deadline: time.Now().Add(time.Minute), Request: &r,
 					})
 					require.Error(t, err, response)
 					require.Equal(t, vanillabarrow.VerdictMayHaveRun, vanillabarrow.AsRefusal(err).Verdict, err)
 				}
-				require.EqualValues(t, 2, node.dialed.Load(), "connections")
+				require.Equal(t, 2, node.Dialed(), "connections")
 			})
 		}
 	}
@@ -160,12 +108,11 @@
 	}
 	for name, call := range tests {
 		t.Run(name, func(t *testing.T) {
-			node := &rawNode{response: malformed, keeps: true}
-			address := startRawNode(t, node)
+			node := startRawNode(t, standin.RawConfig{Response: malformed, Keep: true})
 			for range 2 {
-				require.ErrorContains(t, call(t.Context(), address), "not a token")
+				require.ErrorContains(t, call(t.Context(), node.Address()), "not a token")
 			}
-			require.EqualValues(t, 2, node.dialed.Load(), "connections")
+			require.Equal(t, 2, node.Dialed(), "connections")
 		})
 	}
 }
@@ -223,8 +170,8 @@
 			t.Run(callName+"/"+name, func(t *testing.T) {
 				fields := strings.ReplaceAll(head.fields, "%d", strconv.Itoa(len(call.body)))
 				response := "HTTP/1.1 " + head.status + "\r\n" + call.contentType + fields + "\r\n" + call.body
-				address := startRawNode(t, &rawNode{response: response[:len(response)-head.cut]})
-				require.Error(t, call.do(t.Context(), address))
+				node := startRawNode(t, standin.RawConfig{Response: response[:len(response)-head.cut]})
+				require.Error(t, call.do(t.Context(), node.Address()))
 			})
 		}
 	}
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -17,6 +17,7 @@
 	"connectrpc.com/connect"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/http1"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/message"
 	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1"
@@ -122,7 +123,7 @@
 	if err != nil {
 		return nil, transportRefusal(ctx, err, t.mayHaveRun())
 	}
-	if err := checkResponse(httpResponse); err != nil {
+	if err := http1.CheckDelimited(httpResponse); err != nil {
 		_ = httpResponse.Body.Close()
 		_ = t.conn.Close()
 		return nil, transportRefusal(ctx, err, true)
--- a/internal/peer/limit.go
+++ b/internal/peer/limit.go
@@ -22,22 +22,6 @@
 // largest size that can't be compressed.
 const maxUpdateBytes = 16 << 20
 
-// errNoLength is returned for a response whose body ends with its connection.
-var errNoLength = errors.New("the response ends with its connection")
-
-// checkResponse checks a response of another node. Nodes send each body with a length or
-// in chunks. Of a body that ends with its connection a part would look complete if the
-// other node was killed.
-func checkResponse(response *http.Response) error {
-	if err := http1.CheckResponse(response); err != nil {
-		return err
-	}
-	if http1.EndsWithConnection(response) {
-		return errNoLength
-	}
-	return nil
-}
-
 // limitedTransport checks responses and limits the size of their bodies to maxBytes.
 // connect alone would limit the size of the messages that it decodes, but read the rest
 // of a longer response to its end.
@@ -48,7 +32,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := http1.RoundTrip(t.RoundTripper, r, checkResponse)
+	response, err := http1.RoundTrip(t.RoundTripper, r, http1.CheckDelimited)
 	if err != nil {
 		return nil, err
 	}
@@ -68,7 +52,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *streamTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := http1.RoundTrip(t.RoundTripper, r, checkResponse)
+	response, err := http1.RoundTrip(t.RoundTripper, r, http1.CheckDelimited)
 	if err != nil {
 		return nil, err
 	}
