Refuse values that end with their connection

Heads with a blank in a field's name were accepted as well.

Cause: net/http takes the end of the connection for the end of such a body, and nothing in a value shows whether it is whole.

Change: the client of the configuration service refuses a response without a length or chunks, a status outside of the protocol and a name that is no token (http1.CheckDelimited). The read fails and is tried again, as after any other failure.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/http1"
 	"github.com/vanillabarrow/vanillabarrow/internal/inventory"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 )
@@ -46,12 +47,15 @@
 // New returns a client for the service at the URL. The client sends the name of
 // the node's data centre with each request, for the service's logs.
 func New(url, dataCentre string, traffic *kernel.Traffic) *Client {
-	return &Client{url: strings.TrimSuffix(url, "/"), dataCentre: dataCentre, client: &http.Client{Transport: kernel.ProgressTransport{Transport: &http.Transport{
+	transport := kernel.ProgressTransport{Transport: &http.Transport{
 		DialContext:            traffic.Dial(&net.Dialer{Timeout: dialTimeout}),
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}}}
+	}}
+	// Nothing in a value shows whether it is whole.
+	checked := &http1.Transport{RoundTripper: transport, Check: http1.CheckDelimited}
+	return &Client{url: strings.TrimSuffix(url, "/"), dataCentre: dataCentre, client: &http.Client{Transport: checked}}
 }
 
 // Close closes idle connections.
