Do not count broken responses as verdicts in the load tool

What happened: the load tool counted a response with status 000 or 600 or with a malformed head as finished or not run, and one that was reset while its upload was written as finished and wrong, which blames the node for another fault.

Cause: net/http accepts such heads, and its write of the upload takes the reset from the read of the response, as in the client of targets.

Change: the load tool checks the heads, and its connections are kernel.SharedConns.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -20,6 +20,8 @@
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/caller"
+	"github.com/vanillabarrow/vanillabarrow/internal/http1"
+	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/standin"
 )
 
@@ -121,11 +123,11 @@
 func New(cfg Config) *Generator {
 	return &Generator{
 		cfg: cfg,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		client: &http.Client{Transport: &http1.Transport{Check: http1.CheckResponse, RoundTripper: &http.Transport{
+			DialContext:         kernel.DialShared((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			MaxIdleConnsPerHost: maxInFlight,
 			DisableCompression:  true,
-		}},
+		}}},
 		slots:     make(chan struct{}, maxInFlight),
 		histogram: hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits),
 		result:    Result{Reasons: map[string]int{}, outcomes: map[string]outcome{}},
