Reset the connection of an HTTP/1.0 caller whose response breaks off

What callers could get: with HTTP/1.0, the part of a long response that had arrived when the target broke off, as the complete one.

Cause: a truncated response ends with the close of its connection. In HTTP/1.1 the last chunk is then missing; in HTTP/1.0 a body without a length ends just so.

Change: the connection of a request of HTTP/1.0 is reset instead of closed when its response is truncated.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -168,7 +168,7 @@
 		s.refuse(w, info, vanillabarrow.AsRefusal(err))
 		return
 	}
-	s.writeResponse(w, info, response)
+	s.writeResponse(w, r, info, response)
 }
 
 // refusesWhileClosed refuses a request if the node is closed, and announces while it
@@ -322,7 +322,7 @@
 // writeResponse sends the response. If the response is truncated, the connection
 // is aborted, so that the caller can't mistake it for a complete one. One that is still
 // kept behind other responses is replaced by a refusal.
-func (s *Server) writeResponse(w http.ResponseWriter, info *requestInfo, response *vanillabarrow.Response) {
+func (s *Server) writeResponse(w http.ResponseWriter, r *http.Request, info *requestInfo, response *vanillabarrow.Response) {
 	h := w.Header()
 	message.CopyHeader(h, response.Header)
 	s.Protocol.EncodeResponse(vanillabarrow.Header(h), response)
@@ -346,11 +346,22 @@
 		return
 	}
 	if !pipeline.Reset(w) {
-		panic(http.ErrAbortHandler)
+		abort(r)
 	}
 	s.refuse(w, info, truncationRefusal(err))
 }
 
+// abort closes the connection of a request whose response is truncated. A caller of
+// HTTP/1.0 takes the end of the connection for that of a response without a length,
+// unless the connection is reset.
+func abort(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		// An error means that the connection is already closed.
+		_ = kernel.ResetConnOnClose(r.Context())
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // truncationRefusal returns the refusal for a request whose response was truncated before
 // any of it was sent.
 func truncationRefusal(err error) *vanillabarrow.Refusal {
--- a/internal/kernel/reset.go
+++ b/internal/kernel/reset.go
@@ -35,3 +35,13 @@
 	}
 	return c.SetLinger(0)
 }
+
+// ResetConnOnClose makes the close of the connection on which a request of HTTP/1 arrived
+// send a TCP reset.
+func ResetConnOnClose(ctx context.Context) error {
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return nil
+	}
+	return ResetOnClose(conn)
+}
