Do not use stored responses whose head is malformed

What callers could get: beside nodes of the previous version, a response with a status outside of the protocol or a malformed name that a gate had stored and reported when it was queried. From a report that announces a response and holds none, a gate took that a key was never used, so that its request could run twice.

Cause: reports were used as decoded. A report without its response looked like one of a key that is free.

Change: a stored response with a malformed head counts as not stored, and a report of a finished request without a response leaves open whether the key was used.

--- a/internal/gate/keys.go
+++ b/internal/gate/keys.go
@@ -88,6 +88,9 @@
 		case vanillabarrow.AttemptFenced:
 			return nil, nil
 		case vanillabarrow.AttemptFinished:
+			if report.Response == nil {
+				return nil, unknown
+			}
 			return report.Response, nil
 		case vanillabarrow.AttemptRunning:
 		default:
--- a/internal/gate/keys_test.go
+++ b/internal/gate/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,3 +73,39 @@
 		})
 	}
 }
+
+// reportingReleaser returns the same report about each key.
+type reportingReleaser struct{ report vanillabarrow.AttemptReport }
+
+func (r reportingReleaser) ReleaseKey(context.Context, string, vanillabarrow.KeyReleaseRequest) (*vanillabarrow.AttemptReport, error) {
+	return &r.report, nil
+}
+
+// TestReportOfPreviousOwner checks what a report about a key states. One without the
+// response that it announces must not free the key.
+func TestReportOfPreviousOwner(t *testing.T) {
+	tests := map[string]struct {
+		report vanillabarrow.AttemptReport
+		free   bool
+		reason vanillabarrow.Reason
+	}{
+		"never used":                {report: vanillabarrow.AttemptReport{State: vanillabarrow.AttemptFenced}, free: true},
+		"finished":                  {report: vanillabarrow.AttemptReport{State: vanillabarrow.AttemptFinished, Response: &vanillabarrow.Response{Status: 200}}},
+		"finished without response": {report: vanillabarrow.AttemptReport{State: vanillabarrow.AttemptFinished}, reason: vanillabarrow.ReasonKeyUnknown},
+		"unknown":                   {report: vanillabarrow.AttemptReport{}, reason: vanillabarrow.ReasonKeyUnknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g, cfg := newGate(&fakeExecutor{})
+			g.keyReleaser = reportingReleaser{tt.report}
+			response, err := g.requestRelease(t.Context(), cfg.Snapshot(), target, vanillabarrow.KeyReleaseRequest{})
+			if tt.reason != "" {
+				require.Equal(t, tt.reason, vanillabarrow.AsRefusal(err).Reason)
+				require.Equal(t, vanillabarrow.VerdictMayHaveRun, vanillabarrow.AsRefusal(err).Verdict)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, tt.free, response == nil)
+		})
+	}
+}
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -11,13 +11,19 @@
 var errNotDelimited = errors.New("the response ends with its connection")
 
 // CheckResponse checks a response that net/http has read for what its client accepts
-// although it is malformed: its status, and the names of its fields. It also checks
-// responses of HTTP/2, to which the same rules apply.
+// although it is malformed. It also checks responses of HTTP/2, to which the same rules
+// apply.
 func CheckResponse(response *http.Response) error {
-	if !IsFinalStatus(response.StatusCode) {
-		return malformed("status %q is not one of a final response", response.Status)
+	return CheckHead(response.StatusCode, response.Header)
+}
+
+// CheckHead checks that a status is that of a final response, and that the name of each
+// field is a token.
+func CheckHead(status int, h http.Header) error {
+	if !IsFinalStatus(status) {
+		return malformed("status %d is not one of a final response", status)
 	}
-	return checkNames(response.Header)
+	return checkNames(h)
 }
 
 // CheckDelimited is CheckResponse for servers that send each body with a length or in
--- a/internal/peer/broken_response_test.go
+++ b/internal/peer/broken_response_test.go
@@ -176,3 +176,28 @@
 		}
 	}
 }
+
+// TestMalformedStoredResponse checks that a response which a gate has stored is not used
+// if its head is malformed.
+func TestMalformedStoredResponse(t *testing.T) {
+	tests := map[string]struct {
+		response vanillabarrow.Response
+		used     bool
+	}{
+		"whole":                   {vanillabarrow.Response{Status: 599, Header: vanillabarrow.Header{"X-A": {"1"}}}, true},
+		"status 000":              {vanillabarrow.Response{Status: 0}, false},
+		"status 100":              {vanillabarrow.Response{Status: 100}, false},
+		"status 600":              {vanillabarrow.Response{Status: 600}, false},
+		"blank in a field's name": {vanillabarrow.Response{Status: 200, Header: vanillabarrow.Header{"X A": {"1"}}}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.gate.report = vanillabarrow.AttemptReport{State: vanillabarrow.AttemptFinished, Response: &tt.response}
+			report, err := f.forwarder.QueryAttempt(t.Context(), f.attempt())
+			require.NoError(t, err)
+			require.Equal(t, vanillabarrow.AttemptFinished, report.State)
+			require.Equal(t, tt.used, report.Response != nil)
+		})
+	}
+}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -1,7 +1,10 @@
 package peer
 
 import (
+	"net/http"
+
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/http1"
 	"github.com/vanillabarrow/vanillabarrow/internal/peer/controlv1"
 )
 
@@ -109,6 +112,8 @@
 	return out
 }
 
+// responseFromProto returns nil for a stored response whose head is malformed. A node of
+// the previous version may have got it from its target.
 func responseFromProto(m *controlv1.Answer) *vanillabarrow.Response {
 	if m == nil {
 		return nil
@@ -122,5 +127,8 @@
 	for _, f := range m.GetHeader() {
 		out.Header[f.GetName()] = f.GetValues()
 	}
+	if http1.CheckHead(out.Status, http.Header(out.Header)) != nil {
+		return nil
+	}
 	return out
 }
