Report stored responses whose header has bytes above 127

What callers saw: through another node, a whole response to an upload that its target did not read ended with 502 when a value in its header had a byte above 127.

Cause: the gate closes the connection of an upload that was not read, and the sender's write often fails before it has read the response, which the gate then reports when it is queried. Values were strings in the report, which protobuf requires to be UTF-8, so that the query failed.

Change: values are bytes in control.proto, which has the same encoding. Nodes of the previous version read and write reports without such bytes as before.

Result: TestMalformedStoredResponse/value above 127 fails without the change.

--- a/internal/peer/broken_response_test.go
+++ b/internal/peer/broken_response_test.go
@@ -186,6 +186,7 @@
 	}{
 		"whole":                   {vanillabarrow.Response{Status: 599, Header: vanillabarrow.Header{"X-A": {"1"}}}, true},
 		"status 000":              {vanillabarrow.Response{Status: 0}, false},
+		"value above 127":         {vanillabarrow.Response{Status: 200, Header: vanillabarrow.Header{"X-A": {"\xff", "b"}}}, true},
 		"status 100":              {vanillabarrow.Response{Status: 100}, false},
 		"status 600":              {vanillabarrow.Response{Status: 600}, false},
 		"blank in a field's name": {vanillabarrow.Response{Status: 200, Header: vanillabarrow.Header{"X A": {"1"}}}, false},
@@ -198,6 +199,9 @@
 			require.NoError(t, err)
 			require.Equal(t, vanillabarrow.AttemptFinished, report.State)
 			require.Equal(t, tt.used, report.Response != nil)
+			if tt.used {
+				require.Equal(t, tt.response.Header, report.Response.Header)
+			}
 		})
 	}
 }
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -107,7 +107,11 @@
 	}
 	out := &controlv1.Answer{Status: int32(r.Status), Body: r.Body}
 	for name, values := range r.Header {
-		out.Header = append(out.Header, &controlv1.HeaderField{Name: name, Values: values})
+		field := &controlv1.HeaderField{Name: name}
+		for _, value := range values {
+			field.Values = append(field.Values, []byte(value))
+		}
+		out.Header = append(out.Header, field)
 	}
 	return out
 }
@@ -125,7 +129,9 @@
 		Size:   int64(len(m.GetBody())),
 	}
 	for _, f := range m.GetHeader() {
-		out.Header[f.GetName()] = f.GetValues()
+		for _, value := range f.GetValues() {
+			out.Header[f.GetName()] = append(out.Header[f.GetName()], string(value))
+		}
 	}
 	if http1.CheckHead(out.Status, http.Header(out.Header)) != nil {
 		return nil
