Test broken responses to calls of the relay

Cause: responses of the relay, which is spoken over HTTP/2, are read by net/http and connect. Whether they handle a break was not tested.

Change: TestBrokenRelayResponse sends nine broken responses to each of the three calls.

--- a/internal/peer/broken_response_test.go
+++ b/internal/peer/broken_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -205,3 +206,49 @@
 		})
 	}
 }
+
+// abortingHandler sends a part of a response over HTTP/2 and resets its stream.
+type abortingHandler struct {
+	contentType, body string
+	status            int
+	// ends makes it end the stream in an orderly way instead.
+	ends bool
+}
+
+// ServeHTTP implements http.Handler.
+func (h abortingHandler) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", h.contentType)
+	w.WriteHeader(h.status)
+	_, _ = io.WriteString(w, h.body)
+	_ = http.NewResponseController(w).Flush()
+	if !h.ends {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// TestBrokenRelayResponse checks that a broken response to a call of the relay is an
+// error. HTTP/2 frames each response, so that a part of one never looks complete.
+func TestBrokenRelayResponse(t *testing.T) {
+	const message, stream = "application/proto", "application/connect+proto"
+	tests := map[string]abortingHandler{
+		"reset in its head":          {contentType: message, status: http.StatusOK},
+		"reset in its body":          {contentType: message, body: "\x08\x02", status: http.StatusOK},
+		"status 600":                 {contentType: message, body: "\x08\x02", status: 600, ends: true},
+		"stream is reset":            {contentType: stream, body: "\x00\x00\x00\x00\x00", status: http.StatusOK},
+		"stream ends in a message":   {contentType: stream, body: "\x00\x00\x00\x00\x09part", status: http.StatusOK, ends: true},
+		"stream without its end":     {contentType: stream, body: "\x00\x00\x00\x00\x00", status: http.StatusOK, ends: true},
+		"stream with status 600":     {contentType: stream, body: "\x02\x00\x00\x00\x02{}", status: 600, ends: true},
+		"malformed end of a stream":  {contentType: stream, body: "\x02\x00\x00\x00\x02{!", status: http.StatusOK, ends: true},
+		"message in place of a head": {contentType: "", body: "\x08\x02", status: http.StatusOK, ends: true},
+	}
+	for callName, call := range relayCalls {
+		for name, handler := range tests {
+			t.Run(callName+"/"+name, func(t *testing.T) {
+				address := startHTTP2(t, handler)
+				c := NewRelayClient("vm", kernel.NewTraffic())
+				defer c.Close()
+				require.Error(t, call(t.Context(), c, address))
+			})
+		}
+	}
+}
