Test that whole responses of gates arrive

Cause: responses of other nodes are refused for more reasons, and no test listed those that must arrive.

Change: TestWholeResponseOfGate sends eight, among them all characters of a token in a name, a value above 127, a status of 599 and bodiless ones without a length, twice on one connection.

--- a/internal/peer/broken_response_test.go
+++ b/internal/peer/broken_response_test.go
@@ -82,6 +82,42 @@
 	}
 }
 
+// TestWholeResponseOfGate checks that responses of a gate arrive in each way in which
+// net/http's server sends them.
+func TestWholeResponseOfGate(t *testing.T) {
+	const head = "Vb-Attempt: attempt-1\r\nVb-Verdict: finished\r\n"
+	tests := map[string]struct {
+		method, response, body string
+		status                 int
+	}{
+		"length":                {http.MethodGet, finished, "ok", 200},
+		"chunks":                {http.MethodGet, finishedHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "ok", 200},
+		"informational first":   {http.MethodGet, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + finished, "ok", 200},
+		"HEAD without a length": {http.MethodHead, finishedHead + "\r\n", "", 200},
+		"no content":            {http.MethodGet, "HTTP/1.1 204 No Content\r\n" + head + "\r\n", "", 204},
+		"not modified":          {http.MethodGet, "HTTP/1.1 304 Not Modified\r\n" + head + "\r\n", "", 304},
+		"highest status":        {http.MethodGet, "HTTP/1.1 599 Odd\r\n" + head + "Content-Length: 2\r\n\r\nok", "ok", 599},
+		"odd fields":            {http.MethodGet, finishedHead + "!#$%&'*+-.^_`|~: \xff\r\nX-A: a\r\n b\r\nContent-Length: 2\r\n\r\nok", "ok", 200},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			node := startRawNode(t, standin.RawConfig{Response: tt.response, Keep: true})
+			f := NewForwarder("vm", &recordingObserver{}, kernel.NewTraffic())
+			defer f.Close()
+			for range 2 {
+				response, err := f.Forward(t.Context(), &vanillabarrow.Attempt{
+					ID: "attempt-1", Address: node.Address(), Target: &vanillabarrow.Target{Name: "t1"}, Deadline: time.Now().Add(time.Minute),
+					Request: &vanillabarrow.Request{Method: tt.method, Path: "/"},
+				})
+				require.NoError(t, err)
+				require.Equal(t, tt.status, response.Status)
+				require.Equal(t, tt.body, string(response.Body))
+			}
+			require.Equal(t, 1, node.Dialed(), "connections")
+		})
+	}
+}
+
 // TestMalformedResponseClosesConnection checks that the connection of a malformed
 // response is not used again although the response has no body to read.
 func TestMalformedResponseClosesConnection(t *testing.T) {
