Describe the handling of broken responses and test what mutations left open

Cause: two mutations survived: an attempt that counts as sent because its 100 Continue arrived after it was abandoned, and a refusal with a long body that counts as broken.

--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -68,7 +68,7 @@
 func (r *Reader) readTrailer() error {
 	next, err := r.Peek(len(emptyLine))
 	if err != nil {
-		return unexpectedEOF(err)
+		return readError(err)
 	}
 	if string(next) == emptyLine {
 		_, _ = r.Discard(len(emptyLine))
@@ -91,7 +91,7 @@
 		case errors.Is(err, bufio.ErrBufferFull):
 			return ErrHeadTooLarge
 		case err != nil:
-			return unexpectedEOF(err)
+			return readError(err)
 		case string(trailer[n-len(trailerEnd):]) == trailerEnd:
 			return nil
 		}
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -64,7 +64,7 @@
 	defer r.limit.lift()
 	line, err := r.head.ReadLine()
 	if err != nil {
-		return nil, unexpectedEOF(err)
+		return nil, readError(err)
 	}
 	status, minor, err := parseStatusLine(line)
 	if err != nil {
@@ -101,7 +101,7 @@
 func (r *Reader) readFields() (http.Header, error) {
 	h, err := r.head.ReadMIMEHeader()
 	if err != nil {
-		return nil, unexpectedEOF(err)
+		return nil, readError(err)
 	}
 	if err := checkNames(http.Header(h)); err != nil {
 		return nil, err
@@ -109,9 +109,9 @@
 	return http.Header(h), nil
 }
 
-// unexpectedEOF replaces the error of a read that reached the end of the
-// connection too early.
-func unexpectedEOF(err error) error {
+// readError returns the error of a read that failed: io.ErrUnexpectedEOF at the end of
+// the connection, and ErrMalformed for an error of net/textproto.
+func readError(err error) error {
 	var protocolErr textproto.ProtocolError
 	switch {
 	case errors.Is(err, io.EOF):
--- a/internal/peer/sending_test.go
+++ b/internal/peer/sending_test.go
@@ -13,6 +13,7 @@
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
+	"github.com/vanillabarrow/vanillabarrow/internal/standin"
 )
 
 // receiver counts the bytes that arrive until the connection is closed.
@@ -64,3 +65,22 @@
 		})
 	}
 }
+
+// TestAbandonedBodyIsNotSent guards against an attempt that counts as sent because the
+// gate requests its body after the attempt was abandoned.
+func TestAbandonedBodyIsNotSent(t *testing.T) {
+	gate := startRawNode(t, standin.RawConfig{Response: "HTTP/1.1 100 Continue\r\n\r\n", Keep: true})
+	a := &vanillabarrow.Attempt{
+		ID: "attempt-1", Address: gate.Address(), Target: &vanillabarrow.Target{Name: "t1"}, Deadline: time.Now().Add(time.Minute),
+		Request: &vanillabarrow.Request{Method: http.MethodPost, Path: "/", Body: []byte("body"), Size: 4}, Sending: &vanillabarrow.Sending{},
+	}
+	f := NewForwarder("vm", &recordingObserver{}, kernel.NewTraffic())
+	defer f.Close()
+	dial := f.client.Transport.(*http.Transport).DialContext
+	f.client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		require.True(t, a.Sending.Abandon())
+		return dial(ctx, network, address)
+	}
+	_, err := f.Forward(t.Context(), a)
+	require.Equal(t, vanillabarrow.VerdictNotRun, vanillabarrow.AsRefusal(err).Verdict, err)
+}
--- a/internal/target/exchange_test.go
+++ b/internal/target/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -175,6 +176,11 @@
 		}}, [2]outcome{
 			{verdict: vanillabarrow.VerdictMayHaveRun, reason: vanillabarrow.ReasonTargetFailed}, ok,
 		}, 2},
+		"load shed with a long body": {&rawTarget{responses: []string{
+			fmt.Sprintf("HTTP/1.1 503 Busy\r\nX-Id: ID\r\nContent-Length: %d\r\n\r\n%s", 2*maxDiscardedBytes, make([]byte, 2*maxDiscardedBytes)), matching,
+		}}, [2]outcome{
+			{verdict: vanillabarrow.VerdictNotRun, reason: vanillabarrow.ReasonShed}, ok,
+		}, 2},
 		"load shed without a length": {&rawTarget{responses: []string{
 			"HTTP/1.1 503 Busy\r\nX-Id: ID\r\n\r\nbusy", matching,
 		}}, [2]outcome{
