Keep the write of a shared connection short

Change: the system call, its lock and the note of its error are one method, and the error is compared once. What is noted is unchanged.

--- a/internal/kernel/shared_conn.go
+++ b/internal/kernel/shared_conn.go
@@ -94,35 +94,28 @@
 // full. It returns false in the last case.
 func (c *SharedConn) writeUnwritten(fd uintptr) bool {
 	for len(c.unwritten) > 0 {
-		n, err := c.writeOnce(int(fd), c.unwritten)
-		if errors.Is(err, syscall.EAGAIN) {
+		n, err := c.writeOnce(int(fd))
+		switch err {
+		case nil:
+			c.unwritten = c.unwritten[n:]
+		case syscall.EINTR:
+		case syscall.EAGAIN:
 			return false
-		}
-		if err != nil {
+		default:
 			c.writeErr = err
 			return true
 		}
-		c.unwritten = c.unwritten[n:]
 	}
 	return true
 }
 
-// writeOnce calls write once, or again if a signal interrupted it, and notes the
-// failure of the connection.
-func (c *SharedConn) writeOnce(fd int, p []byte) (int, error) {
+// writeOnce makes one system call and notes the failure of the connection.
+func (c *SharedConn) writeOnce(fd int) (int, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for {
-		n, err := syscall.Write(fd, p)
-		switch err {
-		case nil:
-			return n, nil
-		case syscall.EINTR:
-			continue
-		case syscall.EAGAIN:
-		default:
-			c.failure = err
-		}
-		return 0, err
+	n, err := syscall.Write(fd, c.unwritten)
+	if err != nil && err != syscall.EINTR && err != syscall.EAGAIN {
+		c.failure = err
 	}
+	c.mu.Unlock()
+	return n, err
 }
