--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -117,7 +117,7 @@
 		EventRequestHedged:       {[]string{"id", "target", "hedgeTarget", "after", "result", "took"}, "a second attempt was sent at hedgeTarget after this time; result is won if its response was returned, lost if that of the first attempt was, refused if its gate had no free slot, failed otherwise"},
 		EventResponseTruncated:   {[]string{"id", "target", "error"}, "the response was truncated, so the connection was aborted"},
 		EventAttemptRefused:      {[]string{"id", "attempt", "target", "hedge", "route", "verdict", "reason", "detail", "took", "inFlight", "queued", "limit", "wait", "version"}, "the gate refused an attempt; inFlight, queued, limit and wait are its load at that time, version the configuration that was used"},
-		EventAttemptFailed:       {[]string{"id", "attempt", "target", "hedge", "verdict", "reason", "detail", "took"}, "the target sent no response or an invalid one"},
+		EventAttemptFailed:       {[]string{"id", "attempt", "target", "hedge", "verdict", "reason", "detail", "took"}, "the target sent no response, one that broke off or one that is invalid; detail has the cause"},
 		EventResponseLate:        {[]string{"id", "attempt", "target", "status", "took"}, "the target responded after the sending node had stopped waiting for the attempt"},
 
 		EventTargetEjected:           {[]string{"target", "failures"}, "consecutive failures; the target receives single trial requests only"},
@@ -129,7 +129,7 @@
 		EventExpiredTargetServed:     {[]string{"target", "healthAge"}, "this node is disconnected from the platform and its own target responds to health checks, so the target is served although its registration expired"},
 		EventExpiredTargetNotServed:  {[]string{"target", "healthAge"}, "the platform responds to this node without listing the target, or the target no longer responds to health checks"},
 		EventHealthChecked:           {[]string{"target", "answeredBy", "ok", "warming"}, "the node's own target responded to a health check; warming is the remaining warm-up time"},
-		EventHealthCheckFailed:       {[]string{"target", "failures", "error"}, "the node's own target did not respond to a health check"},
+		EventHealthCheckFailed:       {[]string{"target", "failures", "error"}, "the node's own target did not respond to a health check, or with a malformed response"},
 
 		EventConfigApplied:          {[]string{"asOf", "age", "routes", "services", "targets"}, "the configuration compiled from these items is in force; age is the time since the platform last confirmed it"},
 		EventTargetAdded:            {[]string{"target", "service", "dataCentre", "asOf", "cold"}, "the platform lists a new target; cold is the remaining warm-up time"},
