Keep connections of malformed responses out of net/http's pool

Cause: net/http puts the connection of a response without a body back before it returns the response. The check then closes it, which net/http notices later, and until then it gives the connection to the next request. One with a body that can't be read twice is not sent again.

Change: a trace of the connection records that it was put back (httptrace.PutIdleConn). The idle connections of the transport are then closed, which takes this one out of the pool; no other request is cut.

--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 )
 
 // errNotDelimited is returned for a response whose body ends with its connection.
@@ -63,29 +64,54 @@
 
 // CloseIdleConnections closes the idle connections of the transport.
 func (t *Transport) CloseIdleConnections() {
-	if c, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+	if c, ok := t.RoundTripper.(idleCloser); ok {
 		c.CloseIdleConnections()
 	}
 }
 
 // RoundTrip sends a request by a transport of net/http and checks the response. The
-// connection of one that the check refuses is closed, as net/http would use it again
-// if the response has no body.
+// connection of one that the check refuses is not used again.
 func RoundTrip(transport http.RoundTripper, r *http.Request, check func(*http.Response) error) (*http.Response, error) {
-	var conn net.Conn
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
-	})
+	t := &ConnTrace{}
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: t.GotConn, PutIdleConn: t.PutIdleConn})
 	response, err := transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
 	if err := check(response); err != nil {
-		_ = response.Body.Close()
-		if conn != nil {
-			_ = conn.Close()
-		}
+		t.Discard(transport, response)
 		return nil, err
 	}
 	return response, nil
 }
+
+// ConnTrace follows the connection of a request of net/http. Its methods GotConn and
+// PutIdleConn are hooks of httptrace.
+type ConnTrace struct {
+	Conn net.Conn
+	// idle is set once the connection was put back, before the response is returned if
+	// that has no body.
+	idle atomic.Bool
+}
+
+// GotConn records the connection.
+func (t *ConnTrace) GotConn(info httptrace.GotConnInfo) { t.Conn = info.Conn }
+
+// PutIdleConn records that the connection may be used for another request.
+func (t *ConnTrace) PutIdleConn(err error) { t.idle.Store(err == nil) }
+
+// Discard closes the connection of a response whose body was not read. If it was put
+// back, all idle connections of the transport are closed: net/http would only notice
+// later that this one is, and fail the next request on it.
+func (t *ConnTrace) Discard(transport http.RoundTripper, response *http.Response) {
+	_ = response.Body.Close()
+	if t.Conn != nil {
+		_ = t.Conn.Close()
+	}
+	if c, ok := transport.(idleCloser); ok && t.idle.Load() {
+		c.CloseIdleConnections()
+	}
+}
+
+// idleCloser is a transport that can close its idle connections.
+type idleCloser interface{ CloseIdleConnections() }
--- a/internal/peer/forwarder.go
+++ b/internal/peer/forwarder.go
@@ -124,8 +124,7 @@
 		return nil, transportRefusal(ctx, err, t.mayHaveRun())
 	}
 	if err := http1.CheckDelimited(httpResponse); err != nil {
-		_ = httpResponse.Body.Close()
-		_ = t.conn.Close()
+		t.Discard(f.client.Transport, httpResponse)
 		return nil, transportRefusal(ctx, err, true)
 	}
 	return f.readResponse(ctx, a, httpResponse)
@@ -135,8 +134,8 @@
 // abandoned attempt before it is sent. Errors from setting TCP_USER_TIMEOUT are left to
 // the request, since they mean that the connection is closed.
 type attemptTrace struct {
+	http1.ConnTrace
 	attempt *vanillabarrow.Attempt
-	conn    net.Conn
 	// sent is set once enough of the request may have been sent for the gate to run it.
 	sent atomic.Bool
 	// answered is set once part of a response other than 100 Continue has arrived.
@@ -146,6 +145,7 @@
 func (t *attemptTrace) hooks() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn:              t.gotConn,
+		PutIdleConn:          t.PutIdleConn,
 		Got100Continue:       t.got100Continue,
 		GotFirstResponseByte: func() { t.answered.Store(true) },
 	}
@@ -157,16 +157,16 @@
 
 func (t *attemptTrace) begin() {
 	if !t.attempt.Sending.Begin() {
-		_ = t.conn.Close()
+		_ = t.Conn.Close()
 		return
 	}
 	t.sent.Store(true)
 }
 
 func (t *attemptTrace) gotConn(info httptrace.GotConnInfo) {
-	t.conn = info.Conn
+	t.GotConn(info)
 	if info.Reused {
-		_ = kernel.SetConnTCPUserTimeout(t.conn, clientTCPUserTimeout)
+		_ = kernel.SetConnTCPUserTimeout(t.Conn, clientTCPUserTimeout)
 	}
 	// A gate that has not yet requested the body with 100 Continue can't have run the
 	// request. Without that exchange, any request on an open connection may have been
@@ -183,7 +183,7 @@
 	// than clientTCPUserTimeout. If it becomes unreachable meanwhile, the attempt ends at
 	// its deadline at the latest.
 	if exceedsBuffer(t.attempt.Request) {
-		_ = kernel.SetConnTCPUserTimeout(t.conn, 0)
+		_ = kernel.SetConnTCPUserTimeout(t.Conn, 0)
 	}
 }
 
