Measure how long deltas between nodes are on their way

A node takes the age of received items from their sender, so that nothing showed how old a delta was when it arrived, and the hypotheses of late configurations could not be told apart. Each delta now states how long after its request it was made; together with the time at which the receiver sent the request this bounds the time on the way without a common clock. No decision depends on it yet.

--- a/internal/discovery/parent.go
+++ b/internal/discovery/parent.go
@@ -99,7 +99,9 @@
 	held := f.Table.bases()
 	request := f.request(held)
 	request.AnnounceOnly = slot > 0 && request.AsOf > 0
+	clock := &transitClock{}
 	err = f.Relay.Follow(ctx, address, request, func(d *vanillabarrow.Delta) error {
+		f.observeTransit(d, clock, address)
 		if err := decompress(d, held); err != nil {
 			return err
 		}
--- a/internal/discovery/pass_on_bench_test.go
+++ b/internal/discovery/pass_on_bench_test.go
@@ -46,7 +46,7 @@
 	send := func() int {
 		size := 0
 		for i := range followers {
-			d, err := server.since(requests[i], held[i])
+			d, err := server.since(requests[i], held[i], time.Now())
 			require.NoError(b, err)
 			requests[i].Cursor = d.Cursor
 			size = d.Size()
--- a/internal/discovery/patch_cache_test.go
+++ b/internal/discovery/patch_cache_test.go
@@ -24,7 +24,7 @@
 			}
 			s.table.Merge(d, time.Now())
 			send := func() {
-				_, err := s.since(vanillabarrow.ItemRequest{AcceptsPatches: true}, heldValues{})
+				_, err := s.since(vanillabarrow.ItemRequest{AcceptsPatches: true}, heldValues{}, time.Now())
 				require.NoError(t, err)
 			}
 			send()
--- a/internal/discovery/server.go
+++ b/internal/discovery/server.go
@@ -65,7 +65,7 @@
 
 // Pull returns the items that the node which sent the request lacks.
 func (s *Server) Pull(r vanillabarrow.ItemRequest) (*vanillabarrow.Delta, error) {
-	d, err := s.since(r, s.table.basesOf(r.Held))
+	d, err := s.since(r, s.table.basesOf(r.Held), time.Now())
 	if err != nil {
 		return nil, err
 	}
@@ -73,10 +73,12 @@
 	return d, nil
 }
 
-// since returns the delta to send for a request to a node that holds the given
-// values, to which it adds those of the delta.
-func (s *Server) since(r vanillabarrow.ItemRequest, held heldValues) (*vanillabarrow.Delta, error) {
-	d := s.table.Since(r, time.Now())
+// since returns the delta to send for a request, received at the given time, to a node
+// that holds the given values, to which it adds those of the delta.
+func (s *Server) since(r vanillabarrow.ItemRequest, held heldValues, receivedAt time.Time) (*vanillabarrow.Delta, error) {
+	now := time.Now()
+	d := s.table.Since(r, now)
+	d.SentAfter = now.Sub(receivedAt)
 	d.Draining = s.draining.Load()
 	switch {
 	case r.AnnounceOnly:
@@ -129,12 +131,13 @@
 	if s.streams.Add(1) > maxStreams {
 		return ErrBusy
 	}
+	receivedAt := time.Now()
 	held := s.table.basesOf(r.Held)
 	timer := time.NewTimer(s.timers.heartbeatInterval)
 	defer timer.Stop()
 	for {
 		changed, confirmedAt := s.table.Changed(), s.table.ConfirmedAt()
-		d, err := s.since(r, held)
+		d, err := s.since(r, held, receivedAt)
 		if err != nil {
 			return err
 		}
--- a/internal/discovery/stream_memory_test.go
+++ b/internal/discovery/stream_memory_test.go
@@ -24,7 +24,7 @@
 		key, revision := fmt.Sprintf("op/config-%d", i), vanillabarrow.Version(2*i+1)
 		for _, it := range []vanillabarrow.Item{item(key, strings.Repeat("x", minPatchBytes), revision), removed(key, revision+1, now)} {
 			s.table.Merge(&vanillabarrow.Delta{AsOf: it.Revision, Items: []vanillabarrow.Item{it}}, now)
-			d, err := s.since(r, sent)
+			d, err := s.since(r, sent, time.Now())
 			require.NoError(t, err)
 			require.NoError(t, decompress(d, received))
 			r.Cursor = d.Cursor
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -55,6 +55,7 @@
 	EventItemsReceived          = "items learned"
 	EventItemsPulled            = "items pulled"
 	EventItemsSentSlowly        = "items sent slowly"
+	EventItemsArrivedLate       = "items arrived late"
 	EventItemRejected           = "item left out"
 	EventPlatformUnavailable    = "platform lost"
 	EventPlatformRecovered      = "platform regained"
@@ -143,6 +144,7 @@
 		EventItemsReceived:          {[]string{"from", "asOf", "items"}, "changed items were received from the platform or another node"},
 		EventItemsPulled:            {[]string{"peer", "cause", "asOf", "items", "bytes", "took"}, "changed items were fetched from another node, because of a hint, an announcement or a pause of this node"},
 		EventItemsSentSlowly:        {[]string{"peer", "asOf", "items", "bytes", "took", "behind"}, "another node took a delta only after this time; behind is the number of revisions that came meanwhile; the wait in socket buffers is not included"},
+		EventItemsArrivedLate:       {[]string{"peer", "asOf", "items", "transit", "age"}, "a delta took this time from another node, at most, with the waits on the link and in both nodes; age is that of the sender's data when it made the delta"},
 		EventItemRejected:           {[]string{"asOf", "error"}, "an item describes no valid target, or a configuration was rejected; the error gives the key, and the revision and field where they are known"},
 		EventPlatformUnavailable:    {[]string{"error", "after"}, "a call to the platform failed, the first of consecutive failures; after is the last known revision"},
 		EventPlatformRecovered:      {[]string{"failures"}, "a call to the platform succeeded again"},
--- a/internal/peer/discovery.go
+++ b/internal/peer/discovery.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/discovery"
@@ -104,11 +105,12 @@
 
 // Pull implements vanillabarrow.ItemRelay.
 func (c *DiscoveryClient) Pull(ctx context.Context, address string, request vanillabarrow.ItemRequest) (*vanillabarrow.Delta, error) {
+	ctx, sending := traceSending(ctx)
 	response, err := c.clientFor(c.pullClient, address).Pull(ctx, c.request(request))
 	if err != nil {
 		return nil, err
 	}
-	return deltaFromProto(response.Msg, time.Now()), nil
+	return deltaFromProto(response.Msg, sending.startedAt(), time.Now()), nil
 }
 
 // Follow implements vanillabarrow.ItemRelay. It returns an error if no message or
@@ -117,13 +119,14 @@
 	ctx, progress := kernel.WithProgressTimeout(ctx, discovery.HeartbeatTimeout)
 	// This cancels the stream; Close would wait for the rest of it.
 	defer progress.Stop()
+	ctx, sending := traceSending(ctx)
 	stream, err := c.clientFor(c.streamClient, address).Follow(ctx, c.request(request))
 	if err != nil {
 		return errors.Join(err, context.Cause(ctx))
 	}
 	for stream.Receive() {
 		progress.Pause()
-		if err := receive(deltaFromProto(stream.Msg(), time.Now())); err != nil {
+		if err := receive(deltaFromProto(stream.Msg(), sending.startedAt(), time.Now())); err != nil {
 			return err
 		}
 		progress.Reset()
@@ -159,6 +162,7 @@
 		FullAfter:   uint64(d.FullAfter),
 		SourceAgeMs: uint64(max(0, d.SourceAge).Milliseconds()),
 		Draining:    d.Draining,
+		SentAfterMs: proto.Uint64(uint64(d.SentAfter.Milliseconds())),
 	}
 	for _, item := range d.Items {
 		m.Items = append(m.Items, itemToProto(item, now))
@@ -185,7 +189,8 @@
 	return m
 }
 
-func deltaFromProto(m *controlv1.Delta, now time.Time) *vanillabarrow.Delta {
+// deltaFromProto decodes a delta that was requested and received at the given times.
+func deltaFromProto(m *controlv1.Delta, requestedAt, now time.Time) *vanillabarrow.Delta {
 	d := &vanillabarrow.Delta{
 		Cursor:    vanillabarrow.Cursor{Incarnation: m.GetIncarnation(), Sequence: m.GetSequence()},
 		AsOf:      vanillabarrow.Version(m.GetAsOf()),
@@ -194,6 +199,9 @@
 		SourceAge: milliseconds(m.GetSourceAgeMs()),
 		Draining:  m.GetDraining(),
 	}
+	if m.SentAfterMs != nil {
+		d.SentAfter, d.RequestedAt = milliseconds(m.GetSentAfterMs()), requestedAt
+	}
 	for _, item := range m.GetItems() {
 		d.Items = append(d.Items, itemFromProto(item, now))
 	}
--- a/internal/peer/partial_list_test.go
+++ b/internal/peer/partial_list_test.go
@@ -27,7 +27,7 @@
 		})
 	}
 	now := time.Now()
-	d := deltaFromProto(deltaToProto(&vanillabarrow.Delta{AsOf: 9, Full: true, FullAfter: 7}, now), now)
+	d := deltaFromProto(deltaToProto(&vanillabarrow.Delta{AsOf: 9, Full: true, FullAfter: 7}, now), now, now)
 	require.EqualValues(t, 7, d.FullAfter)
-	require.Zero(t, deltaFromProto(&controlv1.Delta{AsOf: 9, Full: true}, now).FullAfter)
+	require.Zero(t, deltaFromProto(&controlv1.Delta{AsOf: 9, Full: true}, now, now).FullAfter)
 }
--- a/items.go
+++ b/items.go
@@ -111,6 +111,13 @@
 	SourceAge time.Duration
 	// Draining is set when the sender is shutting down.
 	Draining bool
+	// SentAfter is the time from the receipt of the request until the sender made this
+	// delta.
+	SentAfter time.Duration
+	// RequestedAt is when the receiver sent the request, so that the delta was made at
+	// RequestedAt plus SentAfter or later. It is zero if SentAfter is not known, and
+	// not sent to other nodes.
+	RequestedAt time.Time
 }
 
 // Size returns the number of bytes of the keys and values of all items, as they
