Count the time on the way for the age of received items

Callers got 404 for a route 2.6 s after its version was acknowledged. Cause: a node took the age of its data from the sender and counted it from its own receipt. The wait in the sender, on the link and in the receiver was missing at each hop, so data behind a slow node stayed recent for ever, and no timer of the bound applied. The receiver now adds the time since the delta was made to the age of the data, and to that of removed items, which stayed in effect longer by it. A node behind late parents finds its data stale after 0.6 of the bound, as behind silent ones, and reads the store.

TestChangeIsAppliedBehindLateNodes failed in all six cases before (29 to 33 of 36 nodes without the change after the bound) and passes now, with the calls to the store within the read budget.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -212,7 +212,7 @@
 	if err != nil {
 		return err
 	}
-	f.observeTransit(d, &transitClock{}, address)
+	f.addTransit(d, &transitClock{}, address)
 	size := d.Size()
 	if err := decompress(d, held); err != nil {
 		return err
--- a/internal/discovery/late_parents_test.go
+++ b/internal/discovery/late_parents_test.go
@@ -48,6 +48,7 @@
 						}
 					}
 					require.Empty(t, without, "nodes without the change")
+					require.LessOrEqual(t, maxCallsPerSecond(nodes), nodes[slow[0]].follower.ReadBudget)
 				})
 			})
 		}
--- a/internal/discovery/parent.go
+++ b/internal/discovery/parent.go
@@ -101,7 +101,7 @@
 	request.AnnounceOnly = slot > 0 && request.AsOf > 0
 	clock := &transitClock{}
 	err = f.Relay.Follow(ctx, address, request, func(d *vanillabarrow.Delta) error {
-		f.observeTransit(d, clock, address)
+		f.addTransit(d, clock, address)
 		if err := decompress(d, held); err != nil {
 			return err
 		}
--- a/internal/discovery/transit.go
+++ b/internal/discovery/transit.go
@@ -37,11 +37,21 @@
 	return now.Sub(c.receivedAt.Add(d.SentAfter))
 }
 
-// observeTransit records how long a delta from a node took to arrive.
-func (f *Follower) observeTransit(d *vanillabarrow.Delta, clock *transitClock, address string) {
+// addTransit makes a delta from a node as old as it is now: the time that it took to
+// arrive counts for the age of its data and of its removed items.
+func (f *Follower) addTransit(d *vanillabarrow.Delta, clock *transitClock, address string) {
 	transit := clock.transit(d, time.Now())
 	f.Scope.Histogram("transit", kernel.LatencyBuckets()).RecordDuration(transit)
 	if transit > lateTransit {
 		f.Logger.Info(logging.EventItemsArrivedLate, "peer", address, "asOf", d.AsOf, "items", len(d.Items), "transit", transit, "age", d.SourceAge)
 	}
+	d.SourceAge += transit
+	for i := range d.Items {
+		if !d.Items[i].FirstSeenAt.IsZero() {
+			d.Items[i].FirstSeenAt = d.Items[i].FirstSeenAt.Add(-transit)
+		}
+		if !d.Items[i].KeepUntil.IsZero() {
+			d.Items[i].KeepUntil = d.Items[i].KeepUntil.Add(-transit)
+		}
+	}
 }
--- a/items.go
+++ b/items.go
@@ -107,7 +107,8 @@
 	// nodes.
 	KeepMissingUntil time.Time
 	// SourceAge is the time since the platform last confirmed AsOf, including the
-	// delays on the path to the sender.
+	// delays on the path. A sender states its age when it made the delta, to which the
+	// receiver adds the time on the way.
 	SourceAge time.Duration
 	// Draining is set when the sender is shutting down.
 	Draining bool
