Do not confirm data by a probe that shows a newer revision

While a reader receives the response of a watch, its probes confirmed the revision before it for all nodes that follow the reader: with a response that takes 4 s to arrive, or a watch whose connection is silent, nobody in the data centre had a reason to call the store, and the change was late. A probe now returns the revision that the store states, and confirms nothing if that is newer than what the watch waits for. Metric discovery_probesAhead.

--- a/interfaces.go
+++ b/interfaces.go
@@ -61,9 +61,10 @@
 	// Watch returns the changes after a revision, or an empty delta when nothing
 	// changed during the wait. After ErrHistoryLost the caller has to use List.
 	Watch(ctx context.Context, after Version, wait time.Duration) (*Delta, error)
-	// Probe fails with ErrNoResponse if the platform does not respond within the
-	// timeout. It costs less than the other calls.
-	Probe(ctx context.Context, timeout time.Duration) error
+	// Probe returns a revision that the platform has reached, which may not be the
+	// newest one. It fails with ErrNoResponse if the platform does not respond within
+	// the timeout. It costs less than the other calls.
+	Probe(ctx context.Context, timeout time.Duration) (Version, error)
 }
 
 // ItemCompiler builds a snapshot from items.
--- a/internal/discovery/fakes_test.go
+++ b/internal/discovery/fakes_test.go
@@ -45,6 +45,8 @@
 	// probeSilent is set while the connection of probes is silent.
 	probeSilent bool
 	probes      int
+	// responseTime is how long the response of a watch with a change takes to arrive.
+	responseTime time.Duration
 }
 
 // lateAfter is the time after the requested wait at which a client notices that its
@@ -146,9 +148,13 @@
 			return nil, errUnavailable
 		}
 		if s.store.revision > after {
-			defer s.mu.Unlock()
 			s.count()
-			return s.store.delta(after, false), nil
+			d, responseTime := s.store.delta(after, false), s.responseTime
+			s.mu.Unlock()
+			if !sleep.For(ctx, responseTime) {
+				return nil, context.Cause(ctx)
+			}
+			return d, nil
 		}
 		s.mu.Unlock()
 		if !sleep.For(ctx, 100*time.Millisecond) {
@@ -161,20 +167,21 @@
 	return &vanillabarrow.Delta{AsOf: after}, nil
 }
 
-func (s *fakeSource) Probe(ctx context.Context, timeout time.Duration) error {
+func (s *fakeSource) Probe(ctx context.Context, timeout time.Duration) (vanillabarrow.Version, error) {
 	s.mu.Lock()
 	silent, unavailable, probeSilent := s.silent, s.unavailable, s.probeSilent
+	revision := s.store.revision
 	s.probes++
 	s.probeSilent = false
 	s.mu.Unlock()
 	if silent || probeSilent {
 		sleep.For(ctx, timeout)
-		return vanillabarrow.ErrNoResponse
+		return 0, vanillabarrow.ErrNoResponse
 	}
 	if unavailable {
-		return errUnavailable
+		return 0, errUnavailable
 	}
-	return ctx.Err()
+	return revision, ctx.Err()
 }
 
 func (s *fakeSource) set(change func()) {
--- a/internal/discovery/large_reads_test.go
+++ b/internal/discovery/large_reads_test.go
@@ -54,7 +54,9 @@
 	return &vanillabarrow.Delta{AsOf: vanillabarrow.Version(len(s.versions)), Items: s.versions[after:]}
 }
 
-func (s *linkSource) Probe(context.Context, time.Duration) error { return nil }
+func (s *linkSource) Probe(context.Context, time.Duration) (vanillabarrow.Version, error) {
+	return 0, nil
+}
 
 func (s *linkSource) List(ctx context.Context) (*vanillabarrow.Delta, error) {
 	d := s.since(0)
--- a/internal/discovery/large_store_reader_test.go
+++ b/internal/discovery/large_store_reader_test.go
@@ -23,7 +23,9 @@
 	lists    atomic.Int64
 }
 
-func (s *largeStoreSource) Probe(context.Context, time.Duration) error { return nil }
+func (s *largeStoreSource) Probe(context.Context, time.Duration) (vanillabarrow.Version, error) {
+	return 0, nil
+}
 
 func (s *largeStoreSource) List(ctx context.Context) (*vanillabarrow.Delta, error) {
 	s.lists.Add(1)
--- a/internal/discovery/listing_test.go
+++ b/internal/discovery/listing_test.go
@@ -104,7 +104,9 @@
 // tooLargeSource is a source whose responses are all too large.
 type tooLargeSource struct{ calls int }
 
-func (s *tooLargeSource) Probe(context.Context, time.Duration) error { return nil }
+func (s *tooLargeSource) Probe(context.Context, time.Duration) (vanillabarrow.Version, error) {
+	return 0, nil
+}
 
 func (s *tooLargeSource) List(context.Context) (*vanillabarrow.Delta, error) {
 	s.calls++
--- a/internal/discovery/probe.go
+++ b/internal/discovery/probe.go
@@ -35,13 +35,14 @@
 	}
 }
 
-// probe calls the platform during a watch. If it responds, the watch would have
-// returned a change, so the data held is confirmed. Otherwise the watch may be waiting
-// in vain, and is abandoned for a new one.
+// probe calls the platform during a watch. If it responds without a newer revision, the
+// watch would have returned a change, so the data held is confirmed. If it has a newer
+// one, the response of the watch is on its way. Without a response the watch may be
+// waiting in vain, and is abandoned for a new one.
 func (f *Follower) probe(ctx context.Context, w *waitingWatch) {
 	f.Scope.Counter("probes").Inc(1)
 	start := time.Now()
-	err := f.Source.Probe(ctx, f.timers.probeTimeout)
+	revision, err := f.Source.Probe(ctx, f.timers.probeTimeout)
 	if f.watch.Load() != w {
 		return
 	}
@@ -49,6 +50,10 @@
 		w.abandon(fmt.Errorf("probe during a watch: %w", err))
 		return
 	}
+	if revision > w.after {
+		f.Scope.Counter("probesAhead").Inc(1)
+		return
+	}
 	now := time.Now()
 	f.Table.Confirm(w.after, now.Sub(start), now)
 }
--- a/internal/discovery/probe_test.go
+++ b/internal/discovery/probe_test.go
@@ -19,17 +19,21 @@
 func TestProbeDuringWatch(t *testing.T) {
 	tests := map[string]struct {
 		unavailable, ended bool
+		// revision is that of the platform. The node holds 3.
+		revision vanillabarrow.Version
 		// confirmed is set if the data is confirmed, abandoned if the watch ends.
 		confirmed, abandoned bool
 	}{
-		"responds":                        {false, false, true, false},
-		"does not respond":                {true, false, false, true},
-		"responds after the watch":        {false, true, false, false},
-		"does not respond after it ended": {true, true, false, false},
+		"responds":                        {false, false, 3, true, false},
+		"responds from an older copy":     {false, false, 2, true, false},
+		"shows a newer revision":          {false, false, 4, false, false},
+		"does not respond":                {true, false, 3, false, true},
+		"responds after the watch":        {false, true, 3, false, false},
+		"does not respond after it ended": {true, true, 3, false, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			source := &fakeSource{mu: &sync.Mutex{}, store: &fakeStore{}, unavailable: tt.unavailable}
+			source := &fakeSource{mu: &sync.Mutex{}, store: &fakeStore{revision: tt.revision}, unavailable: tt.unavailable}
 			f := NewFollower(Config{
 				Table: NewTable("a1"), Members: membership.New("a1", "a", 1), Source: source, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 			})
