Log and count answers after the timeout of their request

Nothing said whether a request was answered after its route's timeout, by how much, or where it had waited, so that the report of held requests could not be checked. Event 'answered after its timeout' from 100 ms on, with the time in which the body arrived; histogram caller_answeredLate. The deadline is noted at the caller listener from the arrival of the request on; nothing is enforced by it yet.

--- a/internal/caller/plugin.go
+++ b/internal/caller/plugin.go
@@ -64,6 +64,7 @@
 	Settings      settings.Settings
 	Identity      *kernel.Identity
 	Memory        vanillabarrow.MemoryBudget
+	Scope         tally.Scope
 	Logger        *slog.Logger
 }
 
@@ -77,6 +78,7 @@
 		Splits:        p.Splits,
 		Memory:        p.Memory,
 		Logger:        p.Logger,
+		Scope:         p.Scope,
 		NewID:         p.Identity.NewID,
 		MaxBodyBytes:  p.Settings.Requests.MaxBodyBytes,
 		MaxInFlight:   p.Settings.Requests.MaxInFlight,
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
@@ -35,8 +36,10 @@
 	// Memory is charged for buffered bodies. It may be nil.
 	Memory vanillabarrow.MemoryBudget
 	// Explainer explains decisions about requests, nil if nobody asks.
-	Explainer    Explainer
-	Logger       *slog.Logger
+	Explainer Explainer
+	Logger    *slog.Logger
+	// Scope receives the metrics. It may be nil.
+	Scope        tally.Scope
 	NewID        func() string
 	MaxBodyBytes int64
 	MaxInFlight  int
@@ -57,6 +60,10 @@
 
 // New returns a server.
 func New(cfg Config) *Server {
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	cfg.Scope = cfg.Scope.SubScope("caller")
 	s := &Server{Config: cfg}
 	s.aborted, s.abort = context.WithCancel(context.Background())
 	return s
@@ -101,6 +108,10 @@
 	route   string
 	tenant  string
 	arrived time.Time
+	// deadline is when the request ends, zero if nothing limits it or that is not known
+	// yet. bodyTime is how long its body took to arrive.
+	deadline time.Time
+	bodyTime time.Duration
 	// pipelined is set for a request that arrived behind others and may have waited.
 	pipelined bool
 	// announceClose is set if the response has to announce that the connection is
@@ -126,6 +137,7 @@
 	if info.id == "" {
 		info.id = s.NewID()
 	}
+	defer s.observeAnswer(info)
 	if s.refusesWhileClosed(w, r, info) {
 		return
 	}
@@ -221,7 +233,11 @@
 	if err != nil {
 		return nil, ctx, cancel, invalidRequest(vanillabarrow.ReasonBadRequest, err.Error())
 	}
-	if err := s.readBody(r, request, snapshot.Limits, bufferLimit); err != nil {
+	info.setDeadline(matched, service, budget)
+	bodyStart := time.Now()
+	err = s.readBody(r, request, snapshot.Limits, bufferLimit)
+	info.bodyTime = time.Since(bodyStart)
+	if err != nil {
 		return nil, ctx, cancel, err
 	}
 	if info.pipelined {
