Begin the timeout of a request when it arrives

Requests could be held past their route's timeout. Cause: the timeout began with the dispatch, when the body had arrived. The time in which the body arrived, and the wait for an allowance, counted for pipelined requests only, and a body that did not arrive was awaited without limit. Even a refusal was held, as net/http reads the rest of a body before it responds. Now one deadline is set at the arrival of the request, from the timeout in the configuration in force then and the caller's own limit, and all waits end by it; reads of the body end by it on the connection.

TestBodyIsAwaitedUntilTheTimeout failed in all four cases before (no response 20 s after a timeout of 100 ms), TestTimeoutBeginsWithTheRequest failed too (no deadline at the dispatcher). Both pass now.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -109,7 +109,7 @@
 	tenant  string
 	arrived time.Time
 	// deadline is when the request ends, zero if nothing limits it or that is not known
-	// yet. bodyTime is how long its body took to arrive.
+	// yet. bodyTime is the time from its arrival until its body was there.
 	deadline time.Time
 	bodyTime time.Duration
 	// pipelined is set for a request that arrived behind others and may have waited.
@@ -150,7 +150,7 @@
 	}
 	reserved := s.reserveBuffer(r.ContentLength)
 	defer s.releaseBuffer(reserved)
-	request, ctx, cancel, err := s.readRequest(r, info, max(reserved, minBufferBytes))
+	request, ctx, cancel, err := s.readRequest(w, r, info, max(reserved, minBufferBytes))
 	defer cancel()
 	if err != nil {
 		s.refuse(w, info, vanillabarrow.AsRefusal(err))
@@ -202,9 +202,9 @@
 }
 
 // readRequest matches the route and reads the body up to bufferLimit bytes. The
-// context is limited to the time that the caller is willing to wait. The cancel
-// function has to be called after an error, too.
-func (s *Server) readRequest(r *http.Request, info *requestInfo, bufferLimit int64) (*vanillabarrow.Request, context.Context, context.CancelFunc, error) {
+// context ends at the deadline of the request, which also limits the time for the body.
+// The cancel function has to be called after an error, too.
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, info *requestInfo, bufferLimit int64) (*vanillabarrow.Request, context.Context, context.CancelFunc, error) {
 	ctx, cancel := context.WithCancel(r.Context())
 	target := message.RequestTarget(r)
 	if r.Method == http.MethodConnect || !strings.HasPrefix(target, "/") {
@@ -234,24 +234,14 @@
 		return nil, ctx, cancel, invalidRequest(vanillabarrow.ReasonBadRequest, err.Error())
 	}
 	info.setDeadline(matched, service, budget)
-	bodyStart := time.Now()
+	if !info.deadline.IsZero() {
+		ctx, cancel = withDeadline(ctx, cancel, info.deadline)
+	}
+	limitBody(w, r, info.deadline)
 	err = s.readBody(r, request, snapshot.Limits, bufferLimit)
-	info.bodyTime = time.Since(bodyStart)
+	info.bodyTime = time.Since(info.arrived)
 	if err != nil {
-		return nil, ctx, cancel, err
-	}
-	if info.pipelined {
-		// The time spent behind other requests counts.
-		timeout := matched.Timeout
-		if timeout == 0 {
-			timeout = service.Timeout
-		}
-		if timeout > 0 {
-			ctx, cancel = withTimeout(ctx, cancel, timeout-time.Since(info.arrived))
-		}
-	}
-	if budget > 0 {
-		ctx, cancel = withTimeout(ctx, cancel, budget-time.Since(info.arrived))
+		return nil, ctx, cancel, info.bodyRefusal(err)
 	}
 	return request, ctx, cancel, nil
 }
@@ -305,10 +295,9 @@
 	return true
 }
 
-// withTimeout adds a timeout to a context. The returned function also calls
-// cancel.
-func withTimeout(ctx context.Context, cancel context.CancelFunc, d time.Duration) (context.Context, context.CancelFunc) {
-	ctx, inner := context.WithTimeout(ctx, d)
+// withDeadline adds a deadline to a context. The returned function also calls cancel.
+func withDeadline(ctx context.Context, cancel context.CancelFunc, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, inner := context.WithDeadline(ctx, deadline)
 	return ctx, func() {
 		inner()
 		cancel()
--- a/internal/caller/timeout.go
+++ b/internal/caller/timeout.go
@@ -1,6 +1,9 @@
 package caller
 
 import (
+	"errors"
+	"io"
+	"net/http"
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
@@ -27,6 +30,49 @@
 	}
 }
 
+// limitBody makes reads of a request's body fail at the deadline, unless that is zero.
+// net/http also reads the rest of a body before it sends a response, so the deadline
+// stays until the end of the body.
+func limitBody(w http.ResponseWriter, r *http.Request, deadline time.Time) {
+	if deadline.IsZero() || r.ContentLength == 0 {
+		return
+	}
+	conn := http.NewResponseController(w)
+	// Only requests started ahead don't support this, and their bodies have arrived.
+	if conn.SetReadDeadline(deadline) == nil {
+		r.Body = &limitedBody{ReadCloser: r.Body, conn: conn}
+	}
+}
+
+// limitedBody is a body whose connection has a read deadline until its end.
+type limitedBody struct {
+	io.ReadCloser
+	conn *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		// net/http goes on to read, to notice that the caller disconnects. An error means
+		// that it has.
+		_ = b.conn.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// bodyRefusal returns the refusal of a request whose body could not be read, which is
+// that of the deadline if it has passed. The rest of the body may still arrive, so the
+// connection can't be used again.
+func (i *requestInfo) bodyRefusal(err error) error {
+	refusal := vanillabarrow.AsRefusal(err)
+	if refusal.Reason != vanillabarrow.ReasonBodyIncomplete || i.deadline.IsZero() || time.Now().Before(i.deadline) {
+		return err
+	}
+	i.announceClose = true
+	return vanillabarrow.NotRun(vanillabarrow.ReasonDeadline, "the body did not arrive before the timeout")
+}
+
 // observeAnswer records how long after its deadline a request was answered.
 func (s *Server) observeAnswer(info *requestInfo) {
 	if info.deadline.IsZero() {
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -110,7 +110,7 @@
 		EventSettingsUnreadable:     {[]string{"file", "error"}, "the settings file could not be read; the previous settings stay in force"},
 		EventOperatorResponseFailed: {[]string{"error"}, "a response could not be sent to an operator"},
 
-		EventAnsweredLate:        {[]string{"id", "route", "late", "body", "took"}, "the request was answered this time after the timeout of its route or the end of the time that the caller waits; body is the time in which its body arrived"},
+		EventAnsweredLate:        {[]string{"id", "route", "late", "body", "took"}, "the request was answered this time after the timeout of its route or the end of the time that the caller waits; body is the time from its arrival until its body was there"},
 		EventRequestRefused:      {[]string{"id", "route", "tenant", "verdict", "reason", "detail", "retryAfter", "retries", "version", "took"}, "the final refusal that the caller receives; tenant is empty if none was identified, version is the configuration that was used, took the time since the request arrived"},
 		EventRefusalNotDelivered: {[]string{"id", "reason", "error"}, "the caller disconnected before the refusal could be sent"},
 		EventReadAheadBound:      {[]string{"reason", "client", "requests", "bytes", "responseBytes"}, "a connection has the most requests started ahead (reason requests) or bytes read ahead (bytes), or the memory for callers is used up (memory); further requests wait until responses are written"},
