Let the modelled node notice that callers have left

The model of TestProcessorOverloadEnds spent the processor time of a dispatch even for callers that had left, which a node notices between messages. Each dispatch is now three messages with a check before each; the bound and the load are unchanged.

Tried and not kept: a guard that refuses a share of new requests on arrival while goroutines wait for the processor by the runtime's scheduling latency.

--- a/internal/caller/overload_test.go
+++ b/internal/caller/overload_test.go
@@ -21,6 +21,9 @@
 	// that to send it to a target and to return its response.
 	readCost     = 200 * time.Microsecond
 	dispatchCost = 3 * time.Millisecond
+	// dispatchSteps is the number of messages of one dispatch, between which the node
+	// notices that the caller has left.
+	dispatchSteps = 3
 	// callerPatience is the time after which a caller without a response sends its
 	// request again, callerTries how often it sends it.
 	callerPatience = 400 * time.Millisecond
@@ -59,11 +62,16 @@
 	return max(0, time.Until(p.freeAt))
 }
 
-// busyDispatcher uses the processor for each request.
+// busyDispatcher uses the processor for each request whose caller still waits.
 type busyDispatcher struct{ cpu *processor }
 
-func (d *busyDispatcher) Do(context.Context, *vanillabarrow.Request) (*vanillabarrow.Response, error) {
-	d.cpu.use(dispatchCost)
+func (d *busyDispatcher) Do(ctx context.Context, _ *vanillabarrow.Request) (*vanillabarrow.Response, error) {
+	for range dispatchSteps {
+		if ctx.Err() != nil {
+			return nil, vanillabarrow.NotRun(vanillabarrow.ReasonCanceled, "")
+		}
+		d.cpu.use(dispatchCost / dispatchSteps)
+	}
 	return &vanillabarrow.Response{Status: http.StatusOK}, nil
 }
 
@@ -78,21 +86,24 @@
 func (c *impatientCaller) run() {
 	served := false
 	for try := 0; try < callerTries && !served; try++ {
+		ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
 		answered := make(chan bool, 1)
-		go c.runTry(answered)
+		go c.runTry(ctx, answered)
 		select {
 		case served = <-answered:
-		case <-time.After(callerPatience):
+		case <-ctx.Done():
 		}
+		cancel()
 	}
 	c.served <- served
 }
 
-// runTry lets the node read one request, whether or not its caller still waits.
-func (c *impatientCaller) runTry(answered chan<- bool) {
+// runTry lets the node read one request, whether or not its caller still waits. The
+// context of the request ends when the caller leaves.
+func (c *impatientCaller) runTry(ctx context.Context, answered chan<- bool) {
 	c.cpu.use(readCost)
 	w := httptest.NewRecorder()
-	r := httptest.NewRequest(http.MethodGet, "/returns/1", nil)
+	r := httptest.NewRequestWithContext(ctx, http.MethodGet, "/returns/1", nil)
 	c.handler.ServeHTTP(w, r)
 	answered <- w.Code == http.StatusOK
 }
