Keep cold targets cold behind slow nodes

The time on the way was also taken off FirstSeenAt, from which the end of a target's warm-up is counted. As it is an upper bound, a target could count as warm too early. FirstSeenAt is left as it arrives, as before; the age of the data and the removal of items keep the correction. TestTransitOfItems fails with the code of the commit before (FirstSeenAt a second early) and passes now.

--- a/internal/discovery/transit.go
+++ b/internal/discovery/transit.go
@@ -37,8 +37,9 @@
 	return now.Sub(c.receivedAt.Add(d.SentAfter))
 }
 
-// addTransit makes a delta from a node as old as it is now: the time that it took to
-// arrive counts for the age of its data and of its removed items.
+// addTransit makes a delta from a node as old as it can be now: the time that it took to
+// arrive counts for the age of its data and for how long removed items stay in effect.
+// FirstSeenAt remains, since an earlier time would show cold targets as warm.
 func (f *Follower) addTransit(d *vanillabarrow.Delta, clock *transitClock, address string) {
 	transit := clock.transit(d, time.Now())
 	f.Scope.Histogram("transit", kernel.LatencyBuckets()).RecordDuration(transit)
@@ -47,9 +48,6 @@
 	}
 	d.SourceAge += transit
 	for i := range d.Items {
-		if !d.Items[i].FirstSeenAt.IsZero() {
-			d.Items[i].FirstSeenAt = d.Items[i].FirstSeenAt.Add(-transit)
-		}
 		if !d.Items[i].KeepUntil.IsZero() {
 			d.Items[i].KeepUntil = d.Items[i].KeepUntil.Add(-transit)
 		}
--- a/internal/discovery/transit_test.go
+++ b/internal/discovery/transit_test.go
@@ -1,12 +1,15 @@
 package discovery
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/membership"
 )
 
 // TestTransit guards against a delta that counts as made when it arrived.
@@ -34,3 +37,25 @@
 		require.Zero(t, (&transitClock{}).transit(&vanillabarrow.Delta{SentAfter: time.Second}, start))
 	})
 }
+
+// TestTransitOfItems guards against removed items that stay in effect for longer behind a
+// slow node, and against cold targets that count as warm there.
+func TestTransitOfItems(t *testing.T) {
+	f := NewFollower(Config{
+		Table: NewTable("a1"), Members: membership.New("a1", "a", 1), Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+	})
+	now := time.Now()
+	d := &vanillabarrow.Delta{
+		RequestedAt: now.Add(-time.Second), SourceAge: time.Second,
+		Items: []vanillabarrow.Item{
+			{Key: "removed", Removed: true, FirstSeenAt: now, KeepUntil: now.Add(time.Second)},
+			{Key: "added", FirstSeenAt: now},
+		},
+	}
+	f.addTransit(d, &transitClock{}, "peer")
+	require.GreaterOrEqual(t, d.SourceAge, 2*time.Second)
+	require.False(t, d.Items[0].KeepUntil.After(now))
+	require.Equal(t, now, d.Items[0].FirstSeenAt)
+	require.Equal(t, now, d.Items[1].FirstSeenAt)
+	require.Zero(t, d.Items[1].KeepUntil)
+}
