Do not hold refusals for bodies that nobody reads

Found while the places were listed where a request can wait past its timeout. The read of such a body now ends after a second, and with it the connection, so that well-behaved callers keep theirs.

TestRefusalDoesNotWaitForTheBody failed in its three cases before (no response within 20 s) and passes now.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -112,6 +112,8 @@
 	// yet. bodyTime is the time from its arrival until its body was there.
 	deadline time.Time
 	bodyTime time.Duration
+	// hasBody is set if the request may have a body.
+	hasBody bool
 	// pipelined is set for a request that arrived behind others and may have waited.
 	pipelined bool
 	// announceClose is set if the response has to announce that the connection is
@@ -129,7 +131,7 @@
 }
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
-	info := &requestInfo{id: s.Protocol.ID(vanillabarrow.Header(r.Header)), arrived: time.Now(), ctx: r.Context()}
+	info := &requestInfo{id: s.Protocol.ID(vanillabarrow.Header(r.Header)), arrived: time.Now(), hasBody: r.ContentLength != 0, ctx: r.Context()}
 	arrived, pipelined := pipeline.Arrival(r.Context())
 	if pipelined {
 		info.arrived, info.pipelined = arrived, true
@@ -307,6 +309,7 @@
 // refuse logs a refusal and sends it to the caller.
 func (s *Server) refuse(w http.ResponseWriter, info *requestInfo, refusal *vanillabarrow.Refusal) {
 	s.logRefusal(info, refusal)
+	limitUnreadBody(w, info)
 	status, body := s.Protocol.EncodeRefusal(vanillabarrow.Header(w.Header()), refusal)
 	info.setConnection(w.Header())
 	w.WriteHeader(status)
--- a/internal/caller/timeout.go
+++ b/internal/caller/timeout.go
@@ -14,6 +14,10 @@
 // lateAnswer is the time past its timeout from which on an answered request is logged.
 const lateAnswer = 100 * time.Millisecond
 
+// unreadBodyTimeout is how long a refusal waits for the rest of a body, so that the
+// connection can be used again.
+const unreadBodyTimeout = time.Second
+
 // setDeadline notes the time at which a request ends: the end of the timeout of its
 // route, or else of its service, or of the time that the caller is willing to wait,
 // whichever is sooner, counted from the arrival of the request.
@@ -44,6 +48,16 @@
 	}
 }
 
+// limitUnreadBody limits the time for which net/http reads the rest of a body before it
+// sends a refusal, if no deadline of the request does.
+func limitUnreadBody(w http.ResponseWriter, info *requestInfo) {
+	if !info.hasBody || !info.deadline.IsZero() {
+		return
+	}
+	// Only requests started ahead don't support this, and their bodies have arrived.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
+
 // limitedBody is a body whose connection has a read deadline until its end.
 type limitedBody struct {
 	io.ReadCloser
--- a/internal/caller/timeout_test.go
+++ b/internal/caller/timeout_test.go
@@ -82,3 +82,40 @@
 	require.Positive(t, d.timeLeft)
 	require.LessOrEqual(t, d.timeLeft, timeout-pause)
 }
+
+// TestRefusalDoesNotWaitForTheBody guards against refusals that are held until a body has
+// arrived that nobody reads, before the timeout of the request is known.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	tests := map[string]struct {
+		path     string
+		noConfig bool
+		closed   bool
+		status   int
+	}{
+		"no route":         {path: "/other", status: http.StatusNotFound},
+		"no configuration": {path: "/returns", noConfig: true, status: http.StatusServiceUnavailable},
+		"node closed":      {path: "/returns", closed: true, status: http.StatusServiceUnavailable},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSnapshot()
+			if tt.noConfig {
+				s = nil
+			}
+			server, url := newServer(t, &fakeDispatcher{}, s)
+			if tt.closed {
+				server.Close()
+			}
+			conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			require.NoError(t, conn.SetDeadline(time.Now().Add(stallTimeout)))
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo", tt.path)
+			require.NoError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err, "no response")
+			require.Equal(t, tt.status, response.StatusCode)
+		})
+	}
+}
