Test what mutations of the deadline and the transit left open

Five mutations survived, or failed only by the test that is known to be red: pulls without the time on the way, a deadline from now in place of the arrival, the later of two limits, a read deadline that outlasts the body, and the announcement of a close after a body that is late. New tests fail under the first four (TestPullFromLateNode, TestDeadlineOfRequest, TestReadDeadlineEndsWithTheBody). The last was redundant, as net/http closes the connection after a failed read, and is taken out.

--- a/internal/caller/timeout.go
+++ b/internal/caller/timeout.go
@@ -76,14 +76,13 @@
 }
 
 // bodyRefusal returns the refusal of a request whose body could not be read, which is
-// that of the deadline if it has passed. The rest of the body may still arrive, so the
-// connection can't be used again.
+// that of the deadline if it has passed. net/http closes the connection then, as the
+// rest of the body may still arrive.
 func (i *requestInfo) bodyRefusal(err error) error {
 	refusal := vanillabarrow.AsRefusal(err)
 	if refusal.Reason != vanillabarrow.ReasonBodyIncomplete || i.deadline.IsZero() || time.Now().Before(i.deadline) {
 		return err
 	}
-	i.announceClose = true
 	return vanillabarrow.NotRun(vanillabarrow.ReasonDeadline, "the body did not arrive before the timeout")
 }
 
--- a/internal/caller/timeout_test.go
+++ b/internal/caller/timeout_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -119,3 +120,53 @@
 		})
 	}
 }
+
+// TestDeadlineOfRequest guards against a deadline by the later of two limits, or one that
+// does not count from the arrival of the request.
+func TestDeadlineOfRequest(t *testing.T) {
+	tests := map[string]struct{ route, service, budget, want time.Duration }{
+		"none":                       {0, 0, 0, 0},
+		"route":                      {2 * time.Second, 5 * time.Second, 0, 2 * time.Second},
+		"service":                    {0, 5 * time.Second, 0, 5 * time.Second},
+		"caller":                     {0, 0, time.Second, time.Second},
+		"caller before route":        {2 * time.Second, 0, time.Second, time.Second},
+		"route before caller":        {2 * time.Second, 0, 3 * time.Second, 2 * time.Second},
+		"service, caller's is later": {0, 5 * time.Second, 6 * time.Second, 5 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			info := &requestInfo{arrived: time.Now().Add(-time.Minute)}
+			info.setDeadline(&vanillabarrow.Route{Timeout: tt.route}, &vanillabarrow.Service{Timeout: tt.service}, tt.budget)
+			if tt.want == 0 {
+				require.Zero(t, info.deadline)
+				return
+			}
+			require.Equal(t, info.arrived.Add(tt.want), info.deadline)
+		})
+	}
+}
+
+// deadlineRecorder records the read deadline of its connection.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (r *deadlineRecorder) SetReadDeadline(t time.Time) error {
+	r.deadline = t
+	return nil
+}
+
+// TestReadDeadlineEndsWithTheBody guards against callers that count as gone at the deadline,
+// because net/http goes on to read their connections.
+func TestReadDeadlineEndsWithTheBody(t *testing.T) {
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	r := httptest.NewRequest(http.MethodPost, "/returns", strings.NewReader("body"))
+	deadline := time.Now().Add(time.Minute)
+	limitBody(w, r, deadline)
+	require.Equal(t, deadline, w.deadline)
+	body, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	require.Equal(t, "body", string(body))
+	require.Zero(t, w.deadline)
+}
--- a/internal/discovery/late_parents_test.go
+++ b/internal/discovery/late_parents_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/vanillabarrow/vanillabarrow/internal/membership"
 )
 
 // TestChangeIsAppliedBehindLateNodes guards against an old configuration that counts as
@@ -54,3 +58,23 @@
 		}
 	}
 }
+
+// TestPullFromLateNode guards against pulled items that count as recent although they
+// were on their way for long.
+func TestPullFromLateNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const late = 3 * time.Second
+		s, relay := &fakeStore{values: map[string]string{}}, &fakeRelay{}
+		s.write("first", false)
+		nodes := startFleet(t, s, relay, []string{"a1", "a2"})
+		defer stopNodes(nodes)
+		time.Sleep(3 * time.Second)
+		f := NewFollower(Config{
+			Table: NewTable("b1"), Members: membership.New("b1", "b", 1), Relay: relay, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		})
+		relay.lateness = map[string]time.Duration{"a1": late}
+		requestedAt := time.Now()
+		require.NoError(t, f.syncFrom(t.Context(), "a1", pullHint))
+		require.False(t, f.Table.ConfirmedAt().After(requestedAt))
+	})
+}
