--- a/internal/discovery/late_delivery_test.go
+++ b/internal/discovery/late_delivery_test.go
@@ -58,12 +58,18 @@
 func (f *fakeRelay) delay(addresses []string, lateness time.Duration) {
 	const steps = 20
 	for i := range steps {
-		f.mu.Lock()
-		f.lateness = map[string]time.Duration{}
+		byAddress := map[string]time.Duration{}
 		for _, address := range addresses {
-			f.lateness[address] = lateness * time.Duration(i+1) / steps
+			byAddress[address] = lateness * time.Duration(i+1) / steps
 		}
-		f.mu.Unlock()
+		f.setLateness(byAddress)
 		time.Sleep(time.Second)
 	}
 }
+
+// setLateness sets how long the deltas of nodes are on their way, by address.
+func (f *fakeRelay) setLateness(byAddress map[string]time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lateness = byAddress
+}
--- a/internal/discovery/late_parents_test.go
+++ b/internal/discovery/late_parents_test.go
@@ -72,7 +72,7 @@
 		f := NewFollower(Config{
 			Table: NewTable("b1"), Members: membership.New("b1", "b", 1), Relay: relay, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
-		relay.lateness = map[string]time.Duration{"a1": late}
+		relay.setLateness(map[string]time.Duration{"a1": late})
 		requestedAt := time.Now()
 		require.NoError(t, f.syncFrom(t.Context(), "a1", pullHint))
 		require.False(t, f.Table.ConfirmedAt().After(requestedAt))
