Log and count what tells nodes without news from calm ones

A node that hears nothing new of the store logged the same as a calm one: a response with a lower revision was dropped without a line, and a watch without a response looked like a store that is down. Now 'platform revision fell' and 'platform watch unanswered' say so once for consecutive responses, and counters show revisions that fell, unanswered watches, probes behind the data held and refused items. No decision changes: a watch reports the store's own revision, and the caller still takes the greater one.

--- a/internal/discovery/fakes_test.go
+++ b/internal/discovery/fakes_test.go
@@ -42,6 +42,8 @@
 	// idleSilent is set while an idle connection is silent.
 	silences   int
 	idleSilent bool
+	// watchesSilent is set while watches get no response.
+	watchesSilent bool
 	// probeSilent is set while the connection of probes is silent.
 	probeSilent bool
 	probes      int
@@ -106,6 +108,12 @@
 	return s.silent
 }
 
+func (s *fakeSource) hasSilentWatches() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchesSilent
+}
+
 func (s *fakeSource) List(ctx context.Context) (*vanillabarrow.Delta, error) {
 	if s.isSilent() {
 		sleep.For(ctx, silentCallTime)
@@ -127,7 +135,7 @@
 			sleep.For(ctx, time.Until(start.Add(wait+lateAfter)))
 			return nil, cmp.Or(context.Cause(ctx), vanillabarrow.ErrNoResponse)
 		}
-		if s.isSilent() {
+		if s.isSilent() || s.hasSilentWatches() {
 			sleep.For(ctx, wait+silentCallTime)
 			return nil, cmp.Or(context.Cause(ctx), vanillabarrow.ErrNoResponse)
 		}
@@ -164,7 +172,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.count()
-	return &vanillabarrow.Delta{AsOf: after}, nil
+	return &vanillabarrow.Delta{AsOf: s.store.revision}, nil
 }
 
 func (s *fakeSource) Probe(ctx context.Context, timeout time.Duration) (vanillabarrow.Version, error) {
@@ -351,10 +359,13 @@
 // startFleet starts a node on each of the VMs. Their peer addresses are the
 // names of the VMs.
 func startFleet(t *testing.T, s *fakeStore, relay *fakeRelay, vms []string) map[string]*node {
+	return startLoggingFleet(t, s, relay, vms, slog.New(slog.DiscardHandler))
+}
+
+func startLoggingFleet(t *testing.T, s *fakeStore, relay *fakeRelay, vms []string, logger *slog.Logger) map[string]*node {
 	relay.servers = map[string]*Server{}
 	nodes := map[string]*node{}
 	mu := &sync.Mutex{}
-	logger := slog.New(slog.DiscardHandler)
 	for _, vm := range vms {
 		table := NewTable(vm)
 		n := &node{source: &fakeSource{mu: mu, store: s}, pool: kernel.NewPool(kernel.DefaultPoolConfig(), logger)}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -107,6 +107,9 @@
 	connectivity   connectivity
 	// watch is the watch that waits at the moment, nil for none.
 	watch atomic.Pointer[waitingWatch]
+	// probedAt is when the platform last responded to a probe, in nanoseconds since
+	// startedAt, 0 for never.
+	probedAt atomic.Int64
 	// status is shown to operators; it is replaced as a whole.
 	status atomic.Pointer[vanillabarrow.RolloutStatus]
 }
@@ -293,6 +296,7 @@
 		problemTexts[problem.Error()] = true
 		if !f.loggedProblems[problem.Error()] {
 			f.Logger.Warn(logging.EventItemRejected, "asOf", asOf, "error", problem)
+			f.Scope.Counter("itemsRejected").Inc(1)
 		}
 	}
 	f.loggedProblems = problemTexts
--- a/internal/discovery/probe.go
+++ b/internal/discovery/probe.go
@@ -46,6 +46,9 @@
 	if f.watch.Load() != w {
 		return
 	}
+	if err == nil {
+		f.probedAt.Store(time.Since(f.startedAt).Nanoseconds())
+	}
 	if err != nil {
 		w.abandon(fmt.Errorf("probe during a watch: %w", err))
 		return
@@ -54,6 +57,14 @@
 		f.Scope.Counter("probesAhead").Inc(1)
 		return
 	}
+	if revision < w.after {
+		f.Scope.Counter("probesBehind").Inc(1)
+	}
 	now := time.Now()
 	f.Table.Confirm(w.after, now.Sub(start), now)
 }
+
+// respondedTo reports whether the platform responded to a probe after the given time.
+func (f *Follower) respondedTo(since time.Time) bool {
+	return f.probedAt.Load() > since.Sub(f.startedAt).Nanoseconds()
+}
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -26,6 +26,8 @@
 	// the last failure. Until outageGraceUntil, removals may be due to it.
 	outage           bool
 	outageGraceUntil time.Time
+	// revisionFell is set while responses have lower revisions than were held.
+	revisionFell bool
 	// standbyUntil is until when a node that is not a reader reads the
 	// platform.
 	standbyUntil time.Time
@@ -108,13 +110,17 @@
 	if err := f.readLimiter.Wait(ctx); err != nil {
 		return
 	}
-	callStart := time.Now()
+	callStart, held := time.Now(), f.Table.AsOf()
 	d, err := f.listOrWatch(ctx, s)
 	now := time.Now()
 	if err != nil {
 		f.handleSourceFailure(ctx, s, callStart, err)
 		return
 	}
+	f.noteRevision(s, d, held)
+	if !d.Full {
+		d.AsOf = max(d.AsOf, s.after)
+	}
 	s.outage = s.outage || s.isOutage(now, f.Table.ConfirmedAt())
 	setKeepUntil(d, f.keepRemovedUntil(s, now))
 	f.handleSourceSuccess(s, now)
@@ -130,6 +136,27 @@
 	}
 }
 
+// noteRevision logs the first of consecutive responses whose revision is lower than the
+// one held when the call began.
+func (f *Follower) noteRevision(s *sourceState, d *vanillabarrow.Delta, held vanillabarrow.Version) {
+	fell := d.AsOf < held
+	if fell && !s.revisionFell {
+		f.Logger.Warn(logging.EventRevisionFell, "call", callName(d), "revision", d.AsOf, "held", held)
+	}
+	if fell {
+		f.Scope.Counter("revisionsFell").Inc(1)
+	}
+	s.revisionFell = fell
+}
+
+// callName returns the name of the call to the platform that returned a delta.
+func callName(d *vanillabarrow.Delta) string {
+	if d.Full {
+		return "listing"
+	}
+	return "watch"
+}
+
 func (f *Follower) listOrWatch(ctx context.Context, s *sourceState) (*vanillabarrow.Delta, error) {
 	if s.after == 0 {
 		f.Scope.Counter("lists").Inc(1)
@@ -154,6 +181,10 @@
 		f.listNext(s, cause)
 		return
 	}
+	if errors.Is(err, vanillabarrow.ErrNoResponse) && f.respondedTo(callStart) {
+		f.Scope.Counter("unansweredWatches").Inc(1)
+		f.Logger.Warn(logging.EventWatchUnanswered, "after", s.after, "waited", time.Since(callStart))
+	}
 	s.recordFailure(callStart, time.Now(), f.Table.ConfirmedAt(), err)
 	f.connectivity.recordFailure(callStart)
 	f.Scope.Counter("sourceErrors").Inc(1)
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -62,6 +62,8 @@
 	EventPlatformRecovered      = "platform regained"
 	EventHistoryLost            = "platform history lost"
 	EventListingChosen          = "platform listing chosen"
+	EventRevisionFell           = "platform revision fell"
+	EventWatchUnanswered        = "platform watch unanswered"
 	EventPlatformReadStarted    = "platform reading begun"
 	EventPlatformReadStopped    = "platform reading ended"
 	EventPeerConnected          = "peer followed"
@@ -152,6 +154,8 @@
 		EventPlatformRecovered:      {[]string{"failures"}, "a call to the platform succeeded again"},
 		EventHistoryLost:            {[]string{"after"}, "the platform no longer has the changes after this revision; all items are listed again"},
 		EventListingChosen:          {[]string{"cause", "after"}, "the next call lists all items in place of a watch after this revision, whose response did not arrive or would be larger"},
+		EventRevisionFell:           {[]string{"call", "revision", "held"}, "a response of the platform to this call has a lower revision than this node held when the call began: the platform lost changes that it had acknowledged; logged once until a response has a revision that is not lower"},
+		EventWatchUnanswered:        {[]string{"after", "waited"}, "a watch got no response within this time while the platform responded to probes"},
 		EventPlatformReadStarted:    {[]string{"reader", "age", "asOf"}, "this node starts to read the platform: as a reader, or because the platform's last confirmation is too old"},
 		EventPlatformReadStopped:    {[]string{"age", "asOf"}, "this node stops reading the platform; it receives the changes from other nodes"},
 		EventPeerConnected:          {[]string{"slot", "peer", "asOf", "age"}, "a stream of changes from another node was opened"},
