Order versions by the era of the store, and name eras in its calls

A version held a revision only, so that a store that comes back from an older copy looks like one that has nothing new. Versions now hold an era above the revision; without an era they are what they were. Calls to the store name the version that the caller holds, a probe can ask for the newest revision, and an interface decides which of two items of different eras was written later. Nothing makes an era yet. The fake source of the tests returns the changes that come as its watch ends, which it lost since it reports its own revision.

--- a/config.go
+++ b/config.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// Version is the platform's revision number of a published value. It increases
-// with every change.
-type Version uint64
-
 // Topic identifies a kind of published value.
 type Topic string
 
--- a/interfaces.go
+++ b/interfaces.go
@@ -54,17 +54,28 @@
 }
 
 // ItemSource lists and watches published items. An error says nothing about
-// the items.
+// the items. Responses have the version that the platform states, which may be lower
+// than that of the request if the platform was restored from an older copy. A response
+// that names no era counts as of the era that the caller holds.
 type ItemSource interface {
-	// List returns all items.
-	List(ctx context.Context) (*Delta, error)
-	// Watch returns the changes after a revision, or an empty delta when nothing
-	// changed during the wait. After ErrHistoryLost the caller has to use List.
-	Watch(ctx context.Context, after Version, wait time.Duration) (*Delta, error)
-	// Probe returns a revision that the platform has reached, which may not be the
-	// newest one. It fails with ErrNoResponse if the platform does not respond within
-	// the timeout. It costs less than the other calls.
-	Probe(ctx context.Context, timeout time.Duration) (Version, error)
+	// List returns all items. The caller holds the given version.
+	List(ctx context.Context, held Version) (*Delta, error)
+	// Watch returns the changes after a version, or an empty delta when nothing
+	// changed during the wait. After ErrHistoryLost, or if the delta is of another era,
+	// the caller has to use List.
+	Watch(ctx context.Context, request WatchRequest) (*Delta, error)
+	// Probe returns a version that the platform has reached. It fails with
+	// ErrNoResponse if the platform does not respond within the timeout.
+	Probe(ctx context.Context, request ProbeRequest) (Version, error)
+}
+
+// ItemOrder decides by what the writers of items state which of two items with the same
+// key was written later. Eras don't show that: an item of a later era may come from a
+// copy that is older.
+type ItemOrder interface {
+	// Supersedes reports whether an item of a later era replaces one of an earlier
+	// era. Removed items have the last known value.
+	Supersedes(newer, older Item) bool
 }
 
 // ItemCompiler builds a snapshot from items.
--- a/internal/discovery/fakes_test.go
+++ b/internal/discovery/fakes_test.go
@@ -114,7 +114,7 @@
 	return s.watchesSilent
 }
 
-func (s *fakeSource) List(ctx context.Context) (*vanillabarrow.Delta, error) {
+func (s *fakeSource) List(ctx context.Context, _ vanillabarrow.Version) (*vanillabarrow.Delta, error) {
 	if s.isSilent() {
 		sleep.For(ctx, silentCallTime)
 		return nil, vanillabarrow.ErrNoResponse
@@ -128,7 +128,8 @@
 	return s.store.delta(0, true), nil
 }
 
-func (s *fakeSource) Watch(ctx context.Context, after vanillabarrow.Version, wait time.Duration) (*vanillabarrow.Delta, error) {
+func (s *fakeSource) Watch(ctx context.Context, r vanillabarrow.WatchRequest) (*vanillabarrow.Delta, error) {
+	after, wait := r.After, r.Wait
 	silences, start := s.beginCall(ctx), time.Now()
 	for range 1 + wait/(100*time.Millisecond) {
 		if s.wentSilent(silences) {
@@ -172,10 +173,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.count()
-	return &vanillabarrow.Delta{AsOf: s.store.revision}, nil
+	return s.store.delta(after, false), nil
 }
 
-func (s *fakeSource) Probe(ctx context.Context, timeout time.Duration) (vanillabarrow.Version, error) {
+func (s *fakeSource) Probe(ctx context.Context, r vanillabarrow.ProbeRequest) (vanillabarrow.Version, error) {
 	s.mu.Lock()
 	silent, unavailable, probeSilent := s.silent, s.unavailable, s.probeSilent
 	revision := s.store.revision
@@ -183,7 +184,7 @@
 	s.probeSilent = false
 	s.mu.Unlock()
 	if silent || probeSilent {
-		sleep.For(ctx, timeout)
+		sleep.For(ctx, r.Timeout)
 		return 0, vanillabarrow.ErrNoResponse
 	}
 	if unavailable {
--- a/internal/discovery/large_reads_test.go
+++ b/internal/discovery/large_reads_test.go
@@ -54,18 +54,19 @@
 	return &vanillabarrow.Delta{AsOf: vanillabarrow.Version(len(s.versions)), Items: s.versions[after:]}
 }
 
-func (s *linkSource) Probe(context.Context, time.Duration) (vanillabarrow.Version, error) {
-	return 0, nil
+func (s *linkSource) Probe(context.Context, vanillabarrow.ProbeRequest) (vanillabarrow.Version, error) {
+	return s.since(0).AsOf, nil
 }
 
-func (s *linkSource) List(ctx context.Context) (*vanillabarrow.Delta, error) {
+func (s *linkSource) List(ctx context.Context, _ vanillabarrow.Version) (*vanillabarrow.Delta, error) {
 	d := s.since(0)
 	d.Items, d.Full = d.Items[len(d.Items)-1:], true
 	return s.transfer(ctx, d)
 }
 
-func (s *linkSource) Watch(ctx context.Context, after vanillabarrow.Version, wait time.Duration) (*vanillabarrow.Delta, error) {
+func (s *linkSource) Watch(ctx context.Context, r vanillabarrow.WatchRequest) (*vanillabarrow.Delta, error) {
 	const pollInterval = 10 * time.Millisecond
+	after, wait := r.After, r.Wait
 	d := s.since(after)
 	for ; len(d.Items) == 0 && wait > 0; wait -= pollInterval {
 		if !sleep.For(ctx, pollInterval) {
@@ -195,8 +196,8 @@
 // while it is unavailable.
 type incompleteSource struct{ *fakeSource }
 
-func (s incompleteSource) Watch(ctx context.Context, after vanillabarrow.Version, wait time.Duration) (*vanillabarrow.Delta, error) {
-	d, err := s.fakeSource.Watch(ctx, after, wait)
+func (s incompleteSource) Watch(ctx context.Context, r vanillabarrow.WatchRequest) (*vanillabarrow.Delta, error) {
+	d, err := s.fakeSource.Watch(ctx, r)
 	if errors.Is(err, errUnavailable) {
 		err = vanillabarrow.ErrResponseIncomplete
 	}
--- a/internal/discovery/large_store_reader_test.go
+++ b/internal/discovery/large_store_reader_test.go
@@ -23,11 +23,11 @@
 	lists    atomic.Int64
 }
 
-func (s *largeStoreSource) Probe(context.Context, time.Duration) (vanillabarrow.Version, error) {
-	return 0, nil
+func (s *largeStoreSource) Probe(context.Context, vanillabarrow.ProbeRequest) (vanillabarrow.Version, error) {
+	return s.since(0).AsOf, nil
 }
 
-func (s *largeStoreSource) List(ctx context.Context) (*vanillabarrow.Delta, error) {
+func (s *largeStoreSource) List(ctx context.Context, _ vanillabarrow.Version) (*vanillabarrow.Delta, error) {
 	s.lists.Add(1)
 	d := s.since(0)
 	d.Items, d.Full = append(targets(s.targets), d.Items[len(d.Items)-1:]...), true
@@ -37,11 +37,11 @@
 	return s.transfer(ctx, d)
 }
 
-func (s *largeStoreSource) Watch(ctx context.Context, after vanillabarrow.Version, wait time.Duration) (*vanillabarrow.Delta, error) {
+func (s *largeStoreSource) Watch(ctx context.Context, r vanillabarrow.WatchRequest) (*vanillabarrow.Delta, error) {
 	if s.failNext.Swap(false) {
 		return nil, vanillabarrow.ErrResponseIncomplete
 	}
-	return s.linkSource.Watch(ctx, after, wait)
+	return s.linkSource.Watch(ctx, r)
 }
 
 // TestReaderOfLargeStoreReturnsToWatching guards against listings that go on
--- a/internal/discovery/listing_test.go
+++ b/internal/discovery/listing_test.go
@@ -104,17 +104,17 @@
 // tooLargeSource is a source whose responses are all too large.
 type tooLargeSource struct{ calls int }
 
-func (s *tooLargeSource) Probe(context.Context, time.Duration) (vanillabarrow.Version, error) {
+func (s *tooLargeSource) Probe(context.Context, vanillabarrow.ProbeRequest) (vanillabarrow.Version, error) {
 	return 0, nil
 }
 
-func (s *tooLargeSource) List(context.Context) (*vanillabarrow.Delta, error) {
+func (s *tooLargeSource) List(context.Context, vanillabarrow.Version) (*vanillabarrow.Delta, error) {
 	s.calls++
 	return nil, vanillabarrow.ErrResponseTooLarge
 }
 
-func (s *tooLargeSource) Watch(ctx context.Context, _ vanillabarrow.Version, _ time.Duration) (*vanillabarrow.Delta, error) {
-	return s.List(ctx)
+func (s *tooLargeSource) Watch(ctx context.Context, _ vanillabarrow.WatchRequest) (*vanillabarrow.Delta, error) {
+	return s.List(ctx, 0)
 }
 
 // TestTooLargeListingsAreRetriedWithBackoff checks that listings that are too
--- a/internal/discovery/probe.go
+++ b/internal/discovery/probe.go
@@ -23,7 +23,7 @@
 	defer cancel(nil)
 	f.watch.Store(&waitingWatch{after: after, abandon: cancel})
 	defer f.watch.Store(nil)
-	return f.Source.Watch(ctx, after, f.timers.watchWait)
+	return f.Source.Watch(ctx, vanillabarrow.WatchRequest{After: after, Wait: f.timers.watchWait})
 }
 
 // loopProbe probes the platform while a watch waits.
@@ -42,7 +42,7 @@
 func (f *Follower) probe(ctx context.Context, w *waitingWatch) {
 	f.Scope.Counter("probes").Inc(1)
 	start := time.Now()
-	revision, err := f.Source.Probe(ctx, f.timers.probeTimeout)
+	revision, err := f.Source.Probe(ctx, vanillabarrow.ProbeRequest{Held: w.after, Timeout: f.timers.probeTimeout})
 	if f.watch.Load() != w {
 		return
 	}
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -160,11 +160,11 @@
 func (f *Follower) listOrWatch(ctx context.Context, s *sourceState) (*vanillabarrow.Delta, error) {
 	if s.after == 0 {
 		f.Scope.Counter("lists").Inc(1)
-		return f.Source.List(ctx)
+		return f.Source.List(ctx, f.Table.AsOf())
 	}
 	f.Scope.Counter("watches").Inc(1)
 	if s.failures > 0 || s.unconfirmed {
-		return f.Source.Watch(ctx, s.after, recoveryWatchWait)
+		return f.Source.Watch(ctx, vanillabarrow.WatchRequest{After: s.after, Wait: recoveryWatchWait})
 	}
 	return f.watchWithProbes(ctx, s.after)
 }
--- a/items.go
+++ b/items.go
@@ -38,6 +38,12 @@
 	// Expired is set by the receiving node's table on a removed item that is no
 	// longer in effect but was removed recently.
 	Expired bool
+	// Lost is set on the tombstone of an item that is missing from the copy from which
+	// the platform was restored.
+	Lost bool
+	// Kept is set on an item of an earlier era that stays in effect beside one of a
+	// later era, because that one comes from an older copy.
+	Kept bool
 	// FirstSeenAt is the time at which the first node received this revision.
 	FirstSeenAt time.Time
 	// Unchanged is set in a full delta on an item that the receiver already
@@ -88,6 +94,28 @@
 	// CompleteLists is set by nodes of an earlier version, which take each full
 	// delta for a list of all items.
 	CompleteLists bool
+	// WithoutEras is set by nodes of an earlier version, which know no eras.
+	WithoutEras bool
+}
+
+// WatchRequest asks the platform for changes.
+type WatchRequest struct {
+	// After is the version up to which the caller has all items.
+	After Version
+	// Wait is how long the platform waits for a change.
+	Wait time.Duration
+	// OnBegin is called when the response begins. It is optional.
+	OnBegin func()
+}
+
+// ProbeRequest asks the platform for its version.
+type ProbeRequest struct {
+	// Held is the version that the caller holds.
+	Held Version
+	// Exact asks for the newest version. Without it the version may be some seconds
+	// old, which costs less.
+	Exact   bool
+	Timeout time.Duration
 }
 
 // Delta is a set of changed items.
@@ -95,7 +123,8 @@
 	// Cursor is the sender's position after this delta, from which the next
 	// one continues.
 	Cursor Cursor
-	// AsOf is the revision up to which the sender knows all items.
+	// AsOf is the version up to which the sender knows all items. All items but kept
+	// ones are of its era.
 	AsOf  Version
 	Items []Item
 	// Full is set when Items lists every item with a revision after FullAfter, so
@@ -110,6 +139,9 @@
 	// delays on the path. A sender states its age when it made the delta, to which the
 	// receiver adds the time on the way.
 	SourceAge time.Duration
+	// WithoutEra is set if the sender is a node of an earlier version, which knows no
+	// eras, so that it is not known to which one the delta belongs.
+	WithoutEra bool
 	// Draining is set when the sender is shutting down.
 	Draining bool
 	// SentAfter is the time from the receipt of the request until the sender made this
