Show that nodes hear nothing new of a restored store or without watches

Callers got 404 for routes that had been added, and requests reached targets that had left. The fake store can be restored, state an era and answer stale reads.

--- a/internal/discovery/fakes_test.go
+++ b/internal/discovery/fakes_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -44,6 +45,8 @@
 	idleSilent bool
 	// watchesSilent is set while watches get no response.
 	watchesSilent bool
+	// staleRevision is the revision of reads that may be out of date, 0 for the newest.
+	staleRevision vanillabarrow.Version
 	// probeSilent is set while the connection of probes is silent.
 	probeSilent bool
 	probes      int
@@ -114,7 +117,7 @@
 	return s.watchesSilent
 }
 
-func (s *fakeSource) List(ctx context.Context, _ vanillabarrow.Version) (*vanillabarrow.Delta, error) {
+func (s *fakeSource) List(ctx context.Context, held vanillabarrow.Version) (*vanillabarrow.Delta, error) {
 	if s.isSilent() {
 		sleep.For(ctx, silentCallTime)
 		return nil, vanillabarrow.ErrNoResponse
@@ -125,7 +128,7 @@
 	if s.unavailable {
 		return nil, errUnavailable
 	}
-	return s.store.delta(0, true), nil
+	return s.store.label(s.store.delta(0, true), held), nil
 }
 
 func (s *fakeSource) Watch(ctx context.Context, r vanillabarrow.WatchRequest) (*vanillabarrow.Delta, error) {
@@ -156,10 +159,18 @@
 			}
 			return nil, errUnavailable
 		}
-		if s.store.revision > after {
+		if s.store.lacks(after) {
+			defer s.mu.Unlock()
+			s.count()
+			return nil, vanillabarrow.ErrHistoryLost
+		}
+		if s.store.revision > rawVersion(after) {
 			s.count()
-			d, responseTime := s.store.delta(after, false), s.responseTime
+			d, responseTime := s.store.label(s.store.delta(rawVersion(after), false), after), s.responseTime
 			s.mu.Unlock()
+			if r.OnBegin != nil {
+				r.OnBegin()
+			}
 			if !sleep.For(ctx, responseTime) {
 				return nil, context.Cause(ctx)
 			}
@@ -173,13 +184,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.count()
-	return s.store.delta(after, false), nil
+	return s.store.label(s.store.delta(rawVersion(after), false), after), nil
 }
 
 func (s *fakeSource) Probe(ctx context.Context, r vanillabarrow.ProbeRequest) (vanillabarrow.Version, error) {
 	s.mu.Lock()
 	silent, unavailable, probeSilent := s.silent, s.unavailable, s.probeSilent
 	revision := s.store.revision
+	if !r.Exact && s.staleRevision > 0 {
+		revision = s.staleRevision
+	}
+	if !r.Exact && s.store.staleFor > 0 {
+		revision = s.store.revisionAt(time.Now().Add(-s.store.staleFor))
+	}
 	s.probes++
 	s.probeSilent = false
 	s.mu.Unlock()
@@ -190,7 +207,7 @@
 	if unavailable {
 		return 0, errUnavailable
 	}
-	return revision, ctx.Err()
+	return vanillabarrow.NewVersion(s.store.eraFor(r.Held), revision.Revision()), ctx.Err()
 }
 
 func (s *fakeSource) set(change func()) {
@@ -346,6 +363,19 @@
 	return nil
 }
 
+// valueOrder compares the numbers in the values of items, which their writers increase.
+type valueOrder struct{}
+
+// Supersedes implements vanillabarrow.ItemOrder.
+func (valueOrder) Supersedes(newer, older vanillabarrow.Item) bool {
+	n, errNewer := strconv.Atoi(string(newer.Value))
+	o, errOlder := strconv.Atoi(string(older.Value))
+	if newer.Removed || errNewer != nil || errOlder != nil {
+		return true
+	}
+	return n > o || n == o && !older.Removed
+}
+
 // node is one follower with its server and its own source.
 type node struct {
 	follower *Follower
@@ -394,3 +424,9 @@
 	s := n.follower.Snapshot()
 	return s != nil && s.Targets[key] != nil
 }
+
+// eraVersion returns the version of a revision in an era that the platform states.
+func eraVersion(stated, revision uint64) vanillabarrow.Version {
+	era, _ := vanillabarrow.NewEra(stated)
+	return vanillabarrow.NewVersion(era, revision)
+}
--- a/internal/discovery/large_reads_test.go
+++ b/internal/discovery/large_reads_test.go
@@ -74,6 +74,9 @@
 		}
 		d = s.since(after)
 	}
+	if r.OnBegin != nil {
+		r.OnBegin()
+	}
 	if s.maxWatchBytes > 0 && encodedSize(d) > s.maxWatchBytes {
 		sleep.For(ctx, s.transferTime(s.maxWatchBytes))
 		return nil, vanillabarrow.ErrResponseTooLarge
--- a/internal/discovery/table_test.go
+++ b/internal/discovery/table_test.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -173,44 +172,6 @@
 	require.Equal(t, now, table.ConfirmedAt())
 }
 
-// fakeStore is an in-memory model of the platform's store.
-type fakeStore struct {
-	revision vanillabarrow.Version
-	log      []vanillabarrow.Item
-	values   map[string]string
-}
-
-func (s *fakeStore) write(key string, remove bool) {
-	if !remove {
-		s.put(key, fmt.Sprint(s.revision+1))
-		return
-	}
-	s.revision++
-	delete(s.values, key)
-	s.log = append(s.log, vanillabarrow.Item{Key: key, Revision: s.revision, Removed: true})
-}
-
-func (s *fakeStore) put(key, value string) {
-	s.revision++
-	s.values[key] = value
-	s.log = append(s.log, item(key, value, s.revision))
-}
-
-// delta returns the result of a watch after a revision, or of a listing if full
-// is set.
-func (s *fakeStore) delta(after vanillabarrow.Version, full bool) *vanillabarrow.Delta {
-	d := &vanillabarrow.Delta{AsOf: s.revision, Full: full}
-	for _, it := range s.log {
-		if full && s.values[it.Key] == string(it.Value) && !it.Removed {
-			d.Items = append(d.Items, it)
-		}
-		if !full && it.Revision > after {
-			d.Items = append(d.Items, it)
-		}
-	}
-	return d
-}
-
 // newTables returns an empty store and the tables of three nodes.
 func newTables() (*fakeStore, []*Table) {
 	return &fakeStore{values: map[string]string{}}, []*Table{NewTable("a"), NewTable("b"), NewTable("c")}
