Test restores of the store with 11 node processes

Cause: no test shows what real nodes do when the store loses acknowledged writes or does not respond to watches.

Change: platform/restore starts 11 nodes in three data centres and plays 13 cases as a table. It checks new routes after 2.7 s, requests to targets that left after 2.5 s, and that no node goes back to an older configuration. make test runs the package after the others; RESTORE_ALL=1 runs all cases.

--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,12 @@
 # test is the README's test command. Seeds are fixed. Few packages run at once,
 # so that those with real sockets get the processor time they need. Results are
 # not cached, because one test builds the program, which the cache does not see.
-# The tests of platform/abuse load the machine and run after the others.
+# The tests of platform/abuse and platform/restore load the machine and run last.
 # TEST_SKIP is a pattern of tests to leave out.
 test:
-	go test -race -count=1 -p 3 -timeout 20m -skip "$$TEST_SKIP" $$(go list ./... | grep -v '/platform/abuse$$')
+	go test -race -count=1 -p 3 -timeout 20m -skip "$$TEST_SKIP" $$(go list ./... | grep -vE '/platform/(abuse|restore)$$')
 	go test -race -count=1 -timeout 20m -skip "$$TEST_SKIP" ./platform/abuse
+	go test -race -count=1 -timeout 20m -skip "$$TEST_SKIP" ./platform/restore
 
 # fuzz runs the stateful tests for longer, at a random seed.
 FUZZ_CHECKS ?= 50000
