Read the era of the store from its responses

A restore of the store shows in the header field of its responses only, which was not read, so that versions of all responses were of era 0. The client now labels revisions with the stated era. A response without a readable field counts as of the era that the caller holds, with the restores that were not announced; an unreadable one is counted and logged once until a response has a readable one or none. The test of documented metrics covers platform too, which had no metrics before.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -64,6 +64,7 @@
 	EventListingChosen          = "platform listing chosen"
 	EventRevisionFell           = "platform revision fell"
 	EventWatchUnanswered        = "platform watch unanswered"
+	EventEraUnreadable          = "platform era unreadable"
 	EventPlatformReadStarted    = "platform reading begun"
 	EventPlatformReadStopped    = "platform reading ended"
 	EventPeerConnected          = "peer followed"
@@ -156,6 +157,7 @@
 		EventListingChosen:          {[]string{"cause", "after"}, "the next call lists all items in place of a watch after this revision, whose response did not arrive or would be larger"},
 		EventRevisionFell:           {[]string{"call", "revision", "held"}, "a response of the platform to this call has a lower revision than this node held when the call began: the platform lost changes that it had acknowledged; logged once until a response has a revision that is not lower"},
 		EventWatchUnanswered:        {[]string{"after", "waited"}, "a watch got no response within this time while the platform responded to probes"},
+		EventEraUnreadable:          {[]string{"value"}, "a response of the platform states its era with this value, of which the first 64 bytes are logged, which is empty, repeated with different values, not a decimal number or too large; the response counts as of the era that the node holds; logged once until a response has a readable value or none"},
 		EventPlatformReadStarted:    {[]string{"reader", "age", "asOf"}, "this node starts to read the platform: as a reader, or because the platform's last confirmation is too old"},
 		EventPlatformReadStopped:    {[]string{"age", "asOf"}, "this node stops reading the platform; it receives the changes from other nodes"},
 		EventPeerConnected:          {[]string{"slot", "peer", "asOf", "age"}, "a stream of changes from another node was opened"},
--- a/internal/operator/metrics_test.go
+++ b/internal/operator/metrics_test.go
@@ -19,26 +19,28 @@
 const root = "../.."
 
 // metricsInCode returns the full names of the metrics that the code under
-// internal creates. The first part of a name is the package.
+// internal and platform creates. The first part of a name is the package.
 func metricsInCode(t *testing.T) map[string]bool {
 	found := map[string]bool{}
-	err := filepath.WalkDir(filepath.Join(root, "internal"), func(path string, _ fs.DirEntry, err error) error {
-		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return err
-		}
-		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
-		if err != nil {
-			return err
-		}
-		ast.Inspect(file, func(n ast.Node) bool {
-			if name := metricName(n); name != "" {
-				found[file.Name.Name+"_"+name] = true
+	for _, dir := range []string{"internal", "platform"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			if err != nil {
+				return err
 			}
-			return true
+			ast.Inspect(file, func(n ast.Node) bool {
+				if name := metricName(n); name != "" {
+					found[file.Name.Name+"_"+name] = true
+				}
+				return true
+			})
+			return nil
 		})
-		return nil
-	})
-	require.NoError(t, err)
+		require.NoError(t, err)
+	}
 	return found
 }
 
--- a/items.go
+++ b/items.go
@@ -21,6 +21,10 @@
 // that the client reads.
 var ErrResponseTooLarge = errors.New("response is too large")
 
+// ErrListingMixed is returned when the platform was restored from an older copy while
+// its items were listed, so that the parts of the listing don't belong together.
+var ErrListingMixed = errors.New("listing spans a restore of the platform")
+
 // Item is one key of the platform's store with its value, or the tombstone of a
 // removed key.
 type Item struct {
