--- a/config.go
+++ b/config.go
@@ -107,6 +107,9 @@
 	// Created is the revision at which the target was registered. Of two targets
 	// with the same address, the one registered later is the running one.
 	Created Version `json:"created,omitempty" yaml:"-"`
+	// Kept is set when the registration is of an earlier era than the configuration,
+	// because the copy from which the platform was restored has an older one or none.
+	Kept bool `json:"kept,omitempty" yaml:"-"`
 }
 
 // Service is a named set of targets with a common request policy.
@@ -229,6 +232,10 @@
 	// ByAddress maps an address to the newest target there. It is empty where
 	// targets are identified by name.
 	ByAddress map[string]*Target
+	// ConfigKept is set when routes, services and tenants are of an earlier era than
+	// Version, because the copy from which the platform was restored has an older
+	// configuration or none.
+	ConfigKept bool `json:"configKept,omitempty"`
 }
 
 // TargetRef identifies the target on a node's own VM: by name, or by address
