Send eras in messages between nodes

Messages held versions as plain numbers, which a node of the previous build would read as large revisions once they have an era. Too large eras and revisions fail the message. The header field with the version of attempts and responses has the text form of versions.

--- a/internal/peer/delta_time_test.go
+++ b/internal/peer/delta_time_test.go
@@ -49,5 +49,7 @@
 // TestDeltaOfEarlierVersion guards against a time that is made up for a node that
 // states none.
 func TestDeltaOfEarlierVersion(t *testing.T) {
-	require.Zero(t, deltaFromProto(&controlv1.Delta{AsOf: 9}, time.Now(), time.Now()).RequestedAt)
+	d, err := deltaFromProto(&controlv1.Delta{AsOf: 9}, time.Now(), time.Now())
+	require.NoError(t, err)
+	require.Zero(t, d.RequestedAt)
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -118,7 +118,7 @@
 	h.Set(headerAttempt, a.ID)
 	h.Set(headerToken, formatToken(s.gate.Token()))
 	writeLoad(h, loadFor(s.gate, a.Request))
-	h.Set(headerVersion, strconv.FormatUint(uint64(s.version()), 10))
+	h.Set(headerVersion, s.version().String())
 	if err != nil {
 		refusal := vanillabarrow.AsRefusal(err)
 		writeRefusal(h, refusal)
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -134,12 +134,14 @@
 	return load, ok
 }
 
+// parseVersion returns 0, which is older than all versions, for a text that is not a
+// version.
 func parseVersion(s string) vanillabarrow.Version {
-	n, err := strconv.ParseUint(s, 10, 64)
+	version, err := vanillabarrow.ParseVersion(s)
 	if err != nil {
 		return 0
 	}
-	return vanillabarrow.Version(n)
+	return version
 }
 
 // writeAttempt adds the fields of an attempt to a request's header. The deadline
@@ -153,7 +155,7 @@
 	h.Set(headerBudget, strconv.FormatInt(a.Deadline.Sub(now).Microseconds(), 10))
 	h.Set(headerDepth, strconv.Itoa(a.Request.Depth))
 	h.Set(headerRetries, strconv.Itoa(a.RetriesLeft))
-	h.Set(headerVersion, strconv.FormatUint(uint64(a.Version), 10))
+	h.Set(headerVersion, a.Version.String())
 	h.Set(headerFrom, from)
 	h.Set(headerRoute, a.Request.Route)
 	h.Set(headerPriority, strconv.Itoa(a.Request.Priority))
--- a/version.go
+++ b/version.go
@@ -15,10 +15,12 @@
 	eraBits      = 64 - revisionBits - restoreBits
 )
 
-// Largest values that a Version can hold.
+// Largest values that a Version can hold: of the revision, of the number that the store
+// states, and of the era.
 const (
 	MaxRevision = 1<<revisionBits - 1
 	MaxStoreEra = 1<<eraBits - 1
+	MaxEra      = 1<<(eraBits+restoreBits) - 1
 	maxRestores = 1<<restoreBits - 1
 )
 
