--- a/internal/discovery/announcement_test.go
+++ b/internal/discovery/announcement_test.go
@@ -30,7 +30,7 @@
 				cancel()
 			}
 			f := NewFollower(Config{
-				Table: NewTable("a1"), Members: membership.New("a1", "a", 1), Relay: &fakeRelay{},
+				Table: NewTable("a1", valueOrder{}), Members: membership.New("a1", "a", 1), Relay: &fakeRelay{},
 				Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 			})
 			f.Table.Merge(&vanillabarrow.Delta{AsOf: 3, Full: true, SourceAge: time.Second}, time.Now())
--- a/internal/discovery/entry.go
+++ b/internal/discovery/entry.go
@@ -8,12 +8,23 @@
 
 // entry is an item with the table's sequence number of its last change.
 type entry struct {
-	item     vanillabarrow.Item
+	item vanillabarrow.Item
+	// kept is an item of an earlier era that stays in effect in place of item, nil for
+	// none.
+	kept     *vanillabarrow.Item
 	sequence uint64
 	// previous holds the older revisions of a large item, newest first.
 	previous []vanillabarrow.Item
 }
 
+// inEffect returns the item that counts.
+func (e *entry) inEffect() vanillabarrow.Item {
+	if e.kept != nil {
+		return *e.kept
+	}
+	return e.item
+}
+
 // revisionsToKeep returns the previous revisions of the item that replaces the
 // entry's.
 func (e *entry) revisionsToKeep() []vanillabarrow.Item {
--- /dev/null
+++ b/internal/discovery/era.go
@@ -0,0 +1,106 @@
+package discovery
+
+import (
+	"errors"
+	"fmt"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/logging"
+)
+
+var (
+	// errRestored is the error of a call that shows that the platform was restored from
+	// an older copy, or may have been, so that a listing has to follow.
+	errRestored = errors.New("the platform may have been restored from an older copy")
+	// errOutdated is the error of a response of an earlier era than that of the items
+	// held when the call began.
+	errOutdated = errors.New("response of an earlier era")
+)
+
+// checkVersion compares the version of a response with the one that was held when the
+// call began. Since the platform's responses are linearizable, a lower revision shows
+// that it lost changes. A second response, to a listing that began after the first one,
+// begins an era that the platform did not announce.
+func (f *Follower) checkVersion(s *sourceState, d *vanillabarrow.Delta, held vanillabarrow.Version) error {
+	switch {
+	case d.AsOf.Era() < held.Era():
+		f.Scope.Counter("responsesOutdated").Inc(1)
+		f.Logger.Info(logging.EventResponseOutdated, "call", callName(d), "asOf", d.AsOf, "held", held)
+		return fmt.Errorf("%w: %s, held %s", errOutdated, d.AsOf, held)
+	case d.AsOf.Era() > held.Era():
+		s.revisionFell = false
+		if !d.Full && held > 0 {
+			return errRestored
+		}
+	case d.AsOf >= held:
+		s.revisionFell = false
+	case d.Full && s.revisionFell:
+		s.revisionFell = false
+		return beginUnannouncedEra(d)
+	default:
+		f.noteRevisionFell(s, callName(d), d.AsOf, held)
+		return errRestored
+	}
+	return nil
+}
+
+// noteRevisionFell notes a response whose revision is lower than the one held when the
+// call began.
+func (f *Follower) noteRevisionFell(s *sourceState, call string, version, held vanillabarrow.Version) {
+	f.Scope.Counter("revisionsFell").Inc(1)
+	if !s.revisionFell {
+		f.Logger.Warn(logging.EventRevisionFell, "call", call, "asOf", version, "held", held)
+	}
+	s.revisionFell = true
+}
+
+// beginUnannouncedEra makes a delta one of the era after its own.
+func beginUnannouncedEra(d *vanillabarrow.Delta) error {
+	era, ok := d.AsOf.Era().Next()
+	if !ok {
+		return fmt.Errorf("%w: no more restores can be counted after %s", errOutdated, d.AsOf)
+	}
+	d.AsOf = vanillabarrow.NewVersion(era, d.AsOf.Revision())
+	for i := range d.Items {
+		item := &d.Items[i]
+		item.Revision = vanillabarrow.NewVersion(era, item.Revision.Revision())
+		item.Created = vanillabarrow.NewVersion(era, item.Created.Revision())
+	}
+	return nil
+}
+
+// callName returns the name of the call to the platform that returned a delta.
+func callName(d *vanillabarrow.Delta) string {
+	if d.Full {
+		return "listing"
+	}
+	return "watch"
+}
+
+// isAnsweredElsewhere reports whether a call failed although the platform responds, and
+// notes what the failure shows. A listing has to follow.
+func (f *Follower) isAnsweredElsewhere(s *sourceState, err error) bool {
+	var fell *revisionFellError
+	switch {
+	case errors.As(err, &fell):
+		f.noteRevisionFell(s, "probe", fell.version, fell.held)
+	case errors.Is(err, errRestored):
+	default:
+		return false
+	}
+	return true
+}
+
+func (f *Follower) logEraChange(c *EraChange, from string) {
+	f.Scope.Counter("eraChanges").Inc(1)
+	f.Logger.Warn(logging.EventEraChanged, "from", from, "before", c.Before, "asOf", c.After, "kept", c.Kept, "lost", c.Lost)
+}
+
+// requestRead makes loopSource call the platform once.
+func (f *Follower) requestRead() {
+	f.readRequested.Store(true)
+	select {
+	case f.readRequests <- struct{}{}:
+	default:
+	}
+}
--- a/internal/discovery/fakes_test.go
+++ b/internal/discovery/fakes_test.go
@@ -398,7 +398,7 @@
 	nodes := map[string]*node{}
 	mu := &sync.Mutex{}
 	for _, vm := range vms {
-		table := NewTable(vm)
+		table := NewTable(vm, valueOrder{})
 		n := &node{source: &fakeSource{mu: mu, store: s}, pool: kernel.NewPool(kernel.DefaultPoolConfig(), logger)}
 		n.follower = NewFollower(Config{
 			Table: table, Members: membership.New(vm, vm[:1], 1), Source: n.source, Compiler: fakeCompiler{vms: vms}, Relay: relay,
--- a/internal/discovery/first_start_test.go
+++ b/internal/discovery/first_start_test.go
@@ -71,7 +71,7 @@
 				n := &node{source: &fakeSource{mu: &sync.Mutex{}, store: store, unavailable: true}, pool: kernel.NewPool(kernel.DefaultPoolConfig(), logger)}
 				compiler := fakeCompiler{vms: []string{"a1", "a2", "b1"}}
 				n.follower = NewFollower(Config{
-					Table: NewTable("a2"), Members: membership.New("a2", "a", 1), Source: n.source, Compiler: compiler, Relay: relay,
+					Table: NewTable("a2", valueOrder{}), Members: membership.New("a2", "a", 1), Source: n.source, Compiler: compiler, Relay: relay,
 					Pool: n.pool, Logger: logger, Scope: tally.NoopScope, SelfAddress: "a2", FleetSize: 3, ReadBudget: 100, Seeds: seeds,
 				})
 				nodes["a2"] = n
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -107,6 +107,10 @@
 	connectivity   connectivity
 	// watch is the watch that waits at the moment, nil for none.
 	watch atomic.Pointer[waitingWatch]
+	// readRequested is set while the platform has to be called, because a node may have
+	// news that only the platform can confirm. readRequests wakes loopSource then.
+	readRequested atomic.Bool
+	readRequests  chan struct{}
 	// probedAt is when the platform last responded to a probe, in nanoseconds since
 	// startedAt, 0 for never.
 	probedAt atomic.Int64
@@ -124,6 +128,8 @@
 		readLimiter: relay.NewReadLimiter(cfg.ReadBudget),
 		hints:       follow.NewHints(),
 		startedAt:   time.Now(),
+
+		readRequests: make(chan struct{}, 1),
 	}
 	f.connectivity.startedAt = f.startedAt
 	changed := make(chan struct{})
@@ -167,6 +173,8 @@
 	s := *f.status.Load()
 	s.Held = f.Table.AsOf()
 	s.ConfirmedAt = f.Table.ConfirmedAt()
+	s.EraChangedAt = f.Table.EraChangedAt()
+	s.Kept = f.Table.KeptCount()
 	// Items have no parts, so operators see the number of items here.
 	s.Parts = f.Table.Size()
 	return s
@@ -239,9 +247,16 @@
 }
 
 func (f *Follower) merge(d *vanillabarrow.Delta, from string) {
-	if f.Table.Merge(d, time.Now()) {
+	result := f.Table.Merge(d, time.Now())
+	if result.Changed {
 		f.Logger.Debug(logging.EventItemsReceived, "from", from, "asOf", d.AsOf, "items", len(d.Items))
 	}
+	if result.EraChange != nil {
+		f.logEraChange(result.EraChange, from)
+	}
+	if result.MayHaveNews {
+		f.requestRead()
+	}
 	f.Scope.Counter("itemsReceived").Inc(int64(len(d.Items)))
 }
 
--- a/internal/discovery/hint_test.go
+++ b/internal/discovery/hint_test.go
@@ -35,11 +35,11 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				peer := NewTable("peer")
+				peer := NewTable("peer", valueOrder{})
 				peer.Merge(&vanillabarrow.Delta{AsOf: 9, Items: []vanillabarrow.Item{item("a", "a", 9)}}, time.Now())
 				logger := slog.New(slog.DiscardHandler)
 				f := NewFollower(Config{
-					Table: NewTable("a1"), Members: membership.New("a1", "a", 1), Logger: logger, Scope: tally.NoopScope,
+					Table: NewTable("a1", valueOrder{}), Members: membership.New("a1", "a", 1), Logger: logger, Scope: tally.NoopScope,
 					Relay: &fakeRelay{servers: map[string]*Server{"peer": NewServer(peer, vanillabarrow.DefaultBounds(), logger, tally.NoopScope)}},
 				})
 				f.Table.Merge(&vanillabarrow.Delta{AsOf: tt.held, Full: true}, time.Now())
--- a/internal/discovery/large_reads_test.go
+++ b/internal/discovery/large_reads_test.go
@@ -109,7 +109,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	n := &node{pool: kernel.NewPool(kernel.DefaultPoolConfig(), logger)}
 	n.follower = NewFollower(Config{
-		Table: NewTable("a1"), Members: membership.New("a1", "a", 1), Source: s, Compiler: fakeCompiler{vms: []string{"a1", "a2", "b1"}},
+		Table: NewTable("a1", valueOrder{}), Members: membership.New("a1", "a", 1), Source: s, Compiler: fakeCompiler{vms: []string{"a1", "a2", "b1"}},
 		Relay: &fakeRelay{servers: map[string]*Server{}},
 		Pool:  n.pool, Logger: logger, Scope: tally.NoopScope, SelfAddress: "a1", FleetSize: 3, ReadBudget: 100,
 	})
--- a/internal/discovery/large_store_test.go
+++ b/internal/discovery/large_store_test.go
@@ -43,7 +43,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
-			reader := NewTable("reader")
+			reader := NewTable("reader", valueOrder{})
 			revision := vanillabarrow.Version(tt.targets + 1)
 			first := &vanillabarrow.Delta{AsOf: revision, Full: true, Items: append(targets(tt.targets), item("op/config", "first", revision))}
 			reader.Merge(first, now)
--- a/internal/discovery/late_parents_test.go
+++ b/internal/discovery/late_parents_test.go
@@ -70,7 +70,7 @@
 		defer stopNodes(nodes)
 		time.Sleep(3 * time.Second)
 		f := NewFollower(Config{
-			Table: NewTable("b1"), Members: membership.New("b1", "b", 1), Relay: relay, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+			Table: NewTable("b1", valueOrder{}), Members: membership.New("b1", "b", 1), Relay: relay, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
 		relay.setLateness(map[string]time.Duration{"a1": late})
 		requestedAt := time.Now()
--- a/internal/discovery/listing.go
+++ b/internal/discovery/listing.go
@@ -75,7 +75,7 @@
 	if known == 0 || d.AsOf <= known {
 		return 0
 	}
-	superseded, largest := int(d.AsOf-known), 0
+	superseded, largest := int(revisionsBetween(known, d.AsOf)), 0
 	for _, item := range d.Items {
 		if item.Revision > known {
 			superseded--
--- a/internal/discovery/news_log_test.go
+++ b/internal/discovery/news_log_test.go
@@ -69,7 +69,7 @@
 func TestRejectedItemsAreCounted(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
 	f := NewFollower(Config{
-		Table: NewTable("a1"), Members: membership.New("a1", "a", 1), Compiler: &rejectingCompiler{}, Logger: slog.New(slog.DiscardHandler),
+		Table: NewTable("a1", valueOrder{}), Members: membership.New("a1", "a", 1), Compiler: &rejectingCompiler{}, Logger: slog.New(slog.DiscardHandler),
 		Scope: scope, FleetSize: 3, ReadBudget: 100,
 	})
 	now := time.Now()
--- a/internal/discovery/outage_test.go
+++ b/internal/discovery/outage_test.go
@@ -79,7 +79,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := NewFollower(Config{
-				Table: NewTable("one"), Members: membership.New("a1", "a", 1), Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+				Table: NewTable("one", valueOrder{}), Members: membership.New("a1", "a", 1), Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 			})
 			f.Table.Merge(&vanillabarrow.Delta{AsOf: 1, Full: true, SourceAge: tt.confirmed}, now)
 			require.Equal(t, tt.want, f.keepRemovedUntil(&tt.state, now).Sub(now))
--- a/internal/discovery/parent_test.go
+++ b/internal/discovery/parent_test.go
@@ -51,7 +51,7 @@
 		snapshot, _ := fakeCompiler{vms: []string{"a1", "a2", "a3", "b1", "b2"}}.Compile(nil, 1, time.Now())
 		members.Update(nil, snapshot)
 		f := NewFollower(Config{
-			Table: NewTable("a1"), Members: members, SelfAddress: "a1",
+			Table: NewTable("a1", valueOrder{}), Members: members, SelfAddress: "a1",
 			Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
 		f.Table.Merge(&vanillabarrow.Delta{AsOf: 1, Full: true, SourceAge: 2 * f.timers.staleAfter}, time.Now())
--- a/internal/discovery/pass_on_bench_test.go
+++ b/internal/discovery/pass_on_bench_test.go
@@ -27,7 +27,7 @@
 
 func passOn(b *testing.B, count, followers int) {
 	routes := newRouteTable(count)
-	table := NewTable("sender")
+	table := NewTable("sender", valueOrder{})
 	server := NewServer(table, vanillabarrow.DefaultBounds(), slog.New(slog.DiscardHandler), tally.NoopScope)
 	revision := vanillabarrow.Version(0)
 	change := func() {
--- a/internal/discovery/patch_cache_test.go
+++ b/internal/discovery/patch_cache_test.go
@@ -17,7 +17,7 @@
 func TestManyLargeItemsAreCompressedOnce(t *testing.T) {
 	for name, count := range map[string]int{"50 items": 50, "200 items": 200} {
 		t.Run(name, func(t *testing.T) {
-			s := &Server{table: NewTable("sender"), patcher: patcher{cache: patch.NewCache()}}
+			s := &Server{table: NewTable("sender", valueOrder{}), patcher: patcher{cache: patch.NewCache()}}
 			d := &vanillabarrow.Delta{AsOf: vanillabarrow.Version(count), Full: true}
 			for i := range count {
 				d.Items = append(d.Items, item(fmt.Sprintf("large-%d", i), strings.Repeat(fmt.Sprint(i), minPatchBytes), vanillabarrow.Version(i+1)))
--- a/internal/discovery/patch_test.go
+++ b/internal/discovery/patch_test.go
@@ -40,7 +40,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
-			sender := NewTable("sender")
+			sender := NewTable("sender", valueOrder{})
 			revisions := map[vanillabarrow.Version]vanillabarrow.Item{}
 			for revision := vanillabarrow.Version(2); revision <= 7; revision++ {
 				revisions[revision] = item("routes", string(largeValue(byte(revision))), revision)
--- a/internal/discovery/plugin.go
+++ b/internal/discovery/plugin.go
@@ -19,7 +19,9 @@
 		Profile: vanillabarrow.ProfileStore,
 		Options: fx.Options(
 			fx.Provide(
-				func(id *kernel.Identity) *Table { return NewTable(id.Incarnation) },
+				func(id *kernel.Identity, order vanillabarrow.ItemOrder) *Table {
+					return NewTable(id.Incarnation, order)
+				},
 				func(t *Table, s settings.Settings, l *slog.Logger, scope tally.Scope) *Server {
 					return NewServer(t, s.Bounds, l, scope)
 				},
--- a/internal/discovery/probe.go
+++ b/internal/discovery/probe.go
@@ -9,9 +9,18 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/sleep"
 )
 
+// revisionFellError ends a watch during which an exact probe showed a lower revision
+// than was held when the probe began.
+type revisionFellError struct{ version, held vanillabarrow.Version }
+
+// Error implements error.
+func (e *revisionFellError) Error() string {
+	return fmt.Sprintf("a probe shows %s, held %s", e.version, e.held)
+}
+
 // waitingWatch is a watch that waits for a change.
 type waitingWatch struct {
-	// after is the revision that this node holds and waits for news of.
+	// after is the version that this node holds and waits for news of.
 	after vanillabarrow.Version
 	// abandon ends the watch.
 	abandon context.CancelCauseFunc
@@ -21,47 +30,55 @@
 func (f *Follower) watchWithProbes(ctx context.Context, after vanillabarrow.Version) (*vanillabarrow.Delta, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	f.watch.Store(&waitingWatch{after: after, abandon: cancel})
+	w := &waitingWatch{after: after, abandon: cancel}
+	f.watch.Store(w)
 	defer f.watch.Store(nil)
-	return f.Source.Watch(ctx, vanillabarrow.WatchRequest{After: after, Wait: f.timers.watchWait})
+	d, err := f.Source.Watch(ctx, vanillabarrow.WatchRequest{After: after, Wait: f.timers.watchWait})
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		return nil, cause
+	}
+	return d, err
 }
 
 // loopProbe probes the platform while a watch waits.
 func (f *Follower) loopProbe(ctx context.Context) {
 	for sleep.For(ctx, f.timers.probeInterval) {
 		if w := f.watch.Load(); w != nil {
-			f.probe(ctx, w)
+			f.probe(ctx, w, false)
 		}
 	}
 }
 
-// probe calls the platform during a watch. If it responds without a newer revision, the
-// watch would have returned a change, so the data held is confirmed. If it has a newer
-// one, the response of the watch is on its way. Without a response the watch may be
-// waiting in vain, and is abandoned for a new one.
-func (f *Follower) probe(ctx context.Context, w *waitingWatch) {
+// probe calls the platform during a watch. If it responds with the version held, the
+// watch would have returned a change, so the data held is confirmed. A read that may be
+// out of date proves nothing if it shows a lower version, so that an exact one follows.
+// Without a response the watch may be waiting in vain, and is abandoned for a new one.
+func (f *Follower) probe(ctx context.Context, w *waitingWatch, exact bool) {
 	f.Scope.Counter("probes").Inc(1)
 	start := time.Now()
-	revision, err := f.Source.Probe(ctx, vanillabarrow.ProbeRequest{Held: w.after, Timeout: f.timers.probeTimeout})
+	version, err := f.Source.Probe(ctx, vanillabarrow.ProbeRequest{Held: w.after, Exact: exact, Timeout: f.timers.probeTimeout})
 	if f.watch.Load() != w {
 		return
 	}
-	if err == nil {
-		f.probedAt.Store(time.Since(f.startedAt).Nanoseconds())
-	}
 	if err != nil {
 		w.abandon(fmt.Errorf("probe during a watch: %w", err))
 		return
 	}
-	if revision > w.after {
+	f.probedAt.Store(time.Since(f.startedAt).Nanoseconds())
+	switch {
+	case version == w.after:
+		now := time.Now()
+		f.Table.Confirm(w.after, now.Sub(start), now)
+	case version.Era() > w.after.Era():
+		w.abandon(errRestored)
+	case version > w.after:
 		f.Scope.Counter("probesAhead").Inc(1)
-		return
-	}
-	if revision < w.after {
+	case !exact:
 		f.Scope.Counter("probesBehind").Inc(1)
+		f.probe(ctx, w, true)
+	default:
+		w.abandon(&revisionFellError{version: version, held: w.after})
 	}
-	now := time.Now()
-	f.Table.Confirm(w.after, now.Sub(start), now)
 }
 
 // respondedTo reports whether the platform responded to a probe after the given time.
--- a/internal/discovery/probe_test.go
+++ b/internal/discovery/probe_test.go
@@ -19,23 +19,28 @@
 func TestProbeDuringWatch(t *testing.T) {
 	tests := map[string]struct {
 		unavailable, ended bool
-		// revision is that of the platform. The node holds 3.
-		revision vanillabarrow.Version
+		// revision is that of the platform, stale the one of reads that may be out of
+		// date. The node holds 3.
+		revision, stale vanillabarrow.Version
 		// confirmed is set if the data is confirmed, abandoned if the watch ends.
 		confirmed, abandoned bool
 	}{
-		"responds":                        {false, false, 3, true, false},
-		"responds from an older copy":     {false, false, 2, true, false},
-		"shows a newer revision":          {false, false, 4, false, false},
-		"does not respond":                {true, false, 3, false, true},
-		"responds after the watch":        {false, true, 3, false, false},
-		"does not respond after it ended": {true, true, 3, false, false},
+		"responds":                        {revision: 3, stale: 3, confirmed: true},
+		"responds from an older copy":     {revision: 3, stale: 2, confirmed: true},
+		"went back":                       {revision: 2, stale: 2, abandoned: true},
+		"went back to a later era":        {revision: eraVersion(1, 2), stale: eraVersion(1, 2), abandoned: true},
+		"newer, older copy":               {revision: 4, stale: 2},
+		"shows a newer revision":          {revision: 4, stale: 4},
+		"does not respond":                {unavailable: true, revision: 3, stale: 3, abandoned: true},
+		"responds after the watch":        {ended: true, revision: 3, stale: 3},
+		"does not respond after it ended": {unavailable: true, ended: true, revision: 3, stale: 3},
+		"went back after the watch":       {ended: true, revision: 2, stale: 2},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			source := &fakeSource{mu: &sync.Mutex{}, store: &fakeStore{revision: tt.revision}, unavailable: tt.unavailable}
+			source := &fakeSource{mu: &sync.Mutex{}, store: &fakeStore{revision: tt.revision}, staleRevision: tt.stale, unavailable: tt.unavailable}
 			f := NewFollower(Config{
-				Table: NewTable("a1"), Members: membership.New("a1", "a", 1), Source: source, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+				Table: NewTable("a1", valueOrder{}), Members: membership.New("a1", "a", 1), Source: source, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 			})
 			f.Table.Merge(&vanillabarrow.Delta{AsOf: 3, Full: true, SourceAge: time.Minute}, time.Now())
 			ctx, cancel := context.WithCancelCause(t.Context())
@@ -44,7 +49,7 @@
 			if !tt.ended {
 				f.watch.Store(w)
 			}
-			f.probe(t.Context(), w)
+			f.probe(t.Context(), w, false)
 			require.Equal(t, tt.confirmed, time.Since(f.Table.ConfirmedAt()) < time.Second)
 			require.Equal(t, tt.abandoned, ctx.Err() != nil)
 		})
--- a/internal/discovery/purge_test.go
+++ b/internal/discovery/purge_test.go
@@ -13,7 +13,7 @@
 // to followers because the node between purged its tombstone before the next send.
 func TestTombstonePurgedOnReceiptReachesStreams(t *testing.T) {
 	now := time.Now()
-	reader, parent, follower := NewTable("reader"), NewTable("parent"), NewTable("follower")
+	reader, parent, follower := NewTable("reader", valueOrder{}), NewTable("parent", valueOrder{}), NewTable("follower", valueOrder{})
 	reader.Merge(&vanillabarrow.Delta{AsOf: 3, Items: []vanillabarrow.Item{item("a", "a", 2), item("b", "b", 3)}}, now)
 	parent.Merge(reader.Since(vanillabarrow.ItemRequest{}, now), now)
 	stream := openModelStream(follower)
--- /dev/null
+++ b/internal/discovery/restore.go
@@ -0,0 +1,161 @@
+package discovery
+
+import (
+	"slices"
+	"time"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+)
+
+// EraChange describes how the items of a later era replaced those of an earlier one.
+type EraChange struct {
+	Before, After vanillabarrow.Version
+	// Kept is the number of items of earlier eras that stay in effect, Lost that of
+	// items that the copy lacks.
+	Kept, Lost int
+}
+
+// beginEra replaces the items that a full delta of a later era lacks by tombstones that
+// are marked as lost. The items of the delta have been stored.
+func (t *Table) beginEra(listed map[string]bool, d *vanillabarrow.Delta, now time.Time) *EraChange {
+	change := &EraChange{Before: t.asOf, After: d.AsOf}
+	until := d.KeepMissingUntil
+	if until.IsZero() {
+		until = now.Add(outageGracePeriod)
+	}
+	for key, e := range t.entries {
+		if e.kept != nil {
+			change.Kept++
+		}
+		if listed[key] || e.item.Removed || e.item.Revision.Era() == d.AsOf.Era() {
+			continue
+		}
+		tombstone := e.inEffect()
+		if !tombstone.Removed {
+			tombstone.Removed, tombstone.Lost, tombstone.KeepUntil = true, true, until
+			change.Lost++
+		}
+		tombstone.Kept, tombstone.Revision, tombstone.FirstSeenAt = false, d.AsOf, now
+		t.put(tombstone, nil, e)
+	}
+	// What nodes of an earlier era hold is not known, so that they get all items.
+	t.listings = nil
+	t.removalsFrom = max(t.removalsFrom, d.AsOf)
+	t.fullSequence = t.sequence
+	t.eraChangedAt = now
+	return change
+}
+
+// keptBeside returns the item of an earlier era that stays in effect when a newer item
+// replaces the entry, nil for none.
+func (t *Table) keptBeside(newer vanillabarrow.Item, e *entry, now time.Time) *vanillabarrow.Item {
+	if e == nil {
+		return nil
+	}
+	if e.kept != nil && !t.order.Supersedes(newer, *e.kept) {
+		return e.kept
+	}
+	if e.item.Revision.Era() == newer.Revision.Era() && !e.item.Lost {
+		return nil
+	}
+	older := e.item
+	if older.Lost {
+		// An item that the copy lacked was not removed by its writer.
+		older.Removed, older.Lost = false, false
+	}
+	if t.order.Supersedes(newer, older) {
+		return nil
+	}
+	older.Removed = e.item.Removed && (!e.item.Lost || !now.Before(e.item.KeepUntil))
+	older.Kept = true
+	return &older
+}
+
+// putKept stores an item that another node keeps in effect, unless this node holds one
+// that was written later.
+func (t *Table) putKept(item vanillabarrow.Item) {
+	e, ok := t.entries[item.Key]
+	if !ok || item.Revision >= e.item.Revision || t.order.Supersedes(e.item, item) {
+		return
+	}
+	if e.kept != nil && !t.isLaterKept(item, *e.kept) {
+		return
+	}
+	t.sequence++
+	e.kept, e.sequence = &item, t.sequence
+}
+
+// isLaterKept reports whether an item was written after another one that is kept.
+func (t *Table) isLaterKept(item, kept vanillabarrow.Item) bool {
+	if item.Revision.Era() == kept.Revision.Era() {
+		return item.Revision > kept.Revision
+	}
+	return t.order.Supersedes(item, kept)
+}
+
+// purgeKept drops tombstones that are kept for longer than tombstoneRetention.
+func (t *Table) purgeKept(now time.Time) {
+	for _, e := range t.entries {
+		if e.kept != nil && e.kept.Removed && now.Sub(e.kept.FirstSeenAt) > tombstoneRetention {
+			t.sequence++
+			e.kept, e.sequence = nil, t.sequence
+		}
+	}
+}
+
+// mergeWithoutEra evaluates a delta of a node that knows no eras. Its revisions may be of
+// any era, so that they change nothing here.
+func (t *Table) mergeWithoutEra(d *vanillabarrow.Delta, now time.Time) MergeResult {
+	if !t.eraChangedAt.IsZero() {
+		return MergeResult{}
+	}
+	version := vanillabarrow.NewVersion(t.asOf.Era(), d.AsOf.Revision())
+	t.confirm(version, d.SourceAge, now)
+	return MergeResult{MayHaveNews: version > t.asOf}
+}
+
+// inEra returns the request of a node that knows no eras with its revisions in an era.
+func inEra(r vanillabarrow.ItemRequest, era vanillabarrow.Era) vanillabarrow.ItemRequest {
+	if r.AsOf > 0 {
+		r.AsOf = vanillabarrow.NewVersion(era, r.AsOf.Revision())
+	}
+	return r
+}
+
+// EraChangedAt returns when the items of a later era replaced those of an earlier one,
+// zero for never.
+func (t *Table) EraChangedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.eraChangedAt
+}
+
+// KeptCount returns the number of items of earlier eras that stay in effect.
+func (t *Table) KeptCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, e := range t.entries {
+		if e.kept != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// dropEras leaves out what only nodes that know eras can evaluate.
+func dropEras(d *vanillabarrow.Delta) {
+	d.Items = slices.DeleteFunc(d.Items, func(item vanillabarrow.Item) bool { return item.Kept })
+	for i := range d.Items {
+		d.Items[i].Lost = false
+	}
+}
+
+// revisionsBetween returns the number of changes from one version to another one of the
+// same era, 0 if they are of different eras.
+func revisionsBetween(from, to vanillabarrow.Version) uint64 {
+	if from.Era() != to.Era() || to < from {
+		return 0
+	}
+	return to.Revision() - from.Revision()
+}
--- a/internal/discovery/server.go
+++ b/internal/discovery/server.go
@@ -78,6 +78,9 @@
 func (s *Server) since(r vanillabarrow.ItemRequest, held heldValues, receivedAt time.Time) (*vanillabarrow.Delta, error) {
 	now := time.Now()
 	d := s.table.Since(r, now)
+	if r.WithoutEras {
+		dropEras(d)
+	}
 	d.SentAfter = now.Sub(receivedAt)
 	d.Draining = s.draining.Load()
 	switch {
@@ -115,7 +118,7 @@
 	s.scope.Histogram("sendTime", kernel.LatencyBuckets()).RecordDuration(took)
 	if took > slowSendTime {
 		s.logger.Info(logging.EventItemsSentSlowly, "peer", peer, "asOf", d.AsOf, "items", len(d.Items), "bytes", d.Size(),
-			"took", took, "behind", s.table.AsOf()-d.AsOf)
+			"took", took, "behind", revisionsBetween(d.AsOf, s.table.AsOf()))
 	}
 	return err
 }
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -10,11 +10,17 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/sleep"
 )
 
+// maxQuickRelists is the number of listings after calls that ended quickly before they
+// are delayed: one for a restore that the platform announces, two for another one.
+const maxQuickRelists = 2
+
 // sourceState is what loopSource keeps between calls to the platform.
 type sourceState struct {
-	// after is the revision to watch from, 0 when a listing is needed.
+	// after is the version to watch from, 0 when a listing is needed.
 	after    vanillabarrow.Version
 	failures int
+	// relists counts consecutive listings that followed calls which ended quickly.
+	relists int
 	// listedBytes is the size of the last listing, 0 before the first.
 	listedBytes int
 	// unconfirmed is set until the first response since the node began to read.
@@ -26,7 +32,7 @@
 	// the last failure. Until outageGraceUntil, removals may be due to it.
 	outage           bool
 	outageGraceUntil time.Time
-	// revisionFell is set while responses have lower revisions than were held.
+	// revisionFell is set once a response had a lower revision than was held.
 	revisionFell bool
 	// standbyUntil is until when a node that is not a reader reads the
 	// platform.
@@ -59,9 +65,13 @@
 		if !should {
 			// Changes up to AsOf came from other nodes.
 			s.after = f.Table.AsOf()
-			sleep.For(ctx, f.untilRoleCheck(time.Now()))
+			sleep.Until(ctx, f.readRequests, f.untilRoleCheck(time.Now()))
 			continue
 		}
+		if s.after > 0 && s.after.Era() < f.Table.AsOf().Era() {
+			// Another node learned of the later era first.
+			s.after = f.Table.AsOf()
+		}
 		f.readOnce(ctx, s)
 	}
 }
@@ -81,7 +91,7 @@
 
 // shouldRead reports whether this node reads the platform now.
 func (f *Follower) shouldRead(s *sourceState, now time.Time) bool {
-	if f.Table.AsOf() == 0 || f.Members.View().Reader {
+	if f.Table.AsOf() == 0 || f.Members.View().Reader || f.readRequested.Load() {
 		return true
 	}
 	stale := !now.Before(f.readsAt())
@@ -117,9 +127,9 @@
 		f.handleSourceFailure(ctx, s, callStart, err)
 		return
 	}
-	f.noteRevision(s, d, held)
-	if !d.Full {
-		d.AsOf = max(d.AsOf, s.after)
+	if err := f.checkVersion(s, d, held); err != nil {
+		f.handleSourceFailure(ctx, s, callStart, err)
+		return
 	}
 	s.outage = s.outage || s.isOutage(now, f.Table.ConfirmedAt())
 	setKeepUntil(d, f.keepRemovedUntil(s, now))
@@ -136,27 +146,6 @@
 	}
 }
 
-// noteRevision logs the first of consecutive responses whose revision is lower than the
-// one held when the call began.
-func (f *Follower) noteRevision(s *sourceState, d *vanillabarrow.Delta, held vanillabarrow.Version) {
-	fell := d.AsOf < held
-	if fell && !s.revisionFell {
-		f.Logger.Warn(logging.EventRevisionFell, "call", callName(d), "revision", d.AsOf, "held", held)
-	}
-	if fell {
-		f.Scope.Counter("revisionsFell").Inc(1)
-	}
-	s.revisionFell = fell
-}
-
-// callName returns the name of the call to the platform that returned a delta.
-func callName(d *vanillabarrow.Delta) string {
-	if d.Full {
-		return "listing"
-	}
-	return "watch"
-}
-
 func (f *Follower) listOrWatch(ctx context.Context, s *sourceState) (*vanillabarrow.Delta, error) {
 	if s.after == 0 {
 		f.Scope.Counter("lists").Inc(1)
@@ -166,18 +155,26 @@
 	if s.failures > 0 || s.unconfirmed {
 		return f.Source.Watch(ctx, vanillabarrow.WatchRequest{After: s.after, Wait: recoveryWatchWait})
 	}
-	return f.watchWithProbes(ctx, s.after)
+	d, err := f.watchWithProbes(ctx, s.after)
+	if err == nil {
+		s.relists = 0
+	}
+	return d, err
 }
 
 func (f *Follower) handleSourceFailure(ctx context.Context, s *sourceState, callStart time.Time, err error) {
 	if errors.Is(err, vanillabarrow.ErrHistoryLost) {
 		f.Logger.Info(logging.EventHistoryLost, "after", s.after)
-		s.after = 0
+		f.relist(ctx, s, callStart)
+		return
+	}
+	if f.isAnsweredElsewhere(s, err) {
+		// The platform responds, so this is no failure of it.
+		f.relist(ctx, s, callStart)
 		return
 	}
 	cause := causeAfterError(err)
 	if cause == listAfterTooLarge && s.after > 0 {
-		// The platform responds, so this is no failure of it.
 		f.listNext(s, cause)
 		return
 	}
@@ -200,6 +197,19 @@
 	backoff.Wait(ctx, s.failures)
 }
 
+// relist makes the next call a listing. Listings that follow each other quickly are
+// delayed, as the platform may contradict itself.
+func (f *Follower) relist(ctx context.Context, s *sourceState, callStart time.Time) {
+	s.after = 0
+	if time.Since(callStart) >= f.timers.probeInterval {
+		s.relists = 0
+	}
+	s.relists++
+	if s.relists > maxQuickRelists {
+		backoff.Wait(ctx, s.relists-maxQuickRelists)
+	}
+}
+
 // recordFailure notes a failed call. A connection that the platform closed shows that
 // it had responded until then, a call without a response shows nothing.
 func (s *sourceState) recordFailure(callStart, now, confirmedAt time.Time, err error) {
@@ -227,6 +237,7 @@
 		f.Logger.Info(logging.EventPlatformRecovered, "failures", s.failures)
 	}
 	f.connectivity.recordSuccess(now)
+	f.readRequested.Store(false)
 	s.failures = 0
 	s.outage = false
 	s.unconfirmed = false
--- a/internal/discovery/status_test.go
+++ b/internal/discovery/status_test.go
@@ -45,7 +45,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := NewFollower(Config{
-				Table: NewTable("one"), Members: membership.New("a1", "a", 1), Compiler: &rejectingCompiler{}, Logger: slog.New(slog.DiscardHandler),
+				Table: NewTable("one", valueOrder{}), Members: membership.New("a1", "a", 1), Compiler: &rejectingCompiler{}, Logger: slog.New(slog.DiscardHandler),
 				Scope: tally.NoopScope, FleetSize: 3, ReadBudget: 100,
 			})
 			now := time.Now()
--- a/internal/discovery/stream_memory_test.go
+++ b/internal/discovery/stream_memory_test.go
@@ -17,7 +17,7 @@
 func TestStreamForgetsRemovedItems(t *testing.T) {
 	const rounds = 50
 	now := time.Now()
-	s := &Server{table: NewTable("sender"), patcher: patcher{cache: patch.NewCache()}}
+	s := &Server{table: NewTable("sender", valueOrder{}), patcher: patcher{cache: patch.NewCache()}}
 	sent, received := heldValues{}, heldValues{}
 	r := vanillabarrow.ItemRequest{AcceptsPatches: true}
 	for i := range rounds {
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -29,16 +29,21 @@
 // confirmed any revision.
 const unconfirmedAge = 24 * time.Hour
 
-// Table holds the newest known revision of every item.
+// Table holds the newest known revision of every item, and beside it an item of an
+// earlier era that stays in effect.
 type Table struct {
 	mu          *kernel.Mutex
 	incarnation string
+	order       vanillabarrow.ItemOrder
 	// entries holds items and tombstones by key.
 	entries map[string]*entry
 	// sequence counts the changes of entries.
 	sequence    uint64
 	asOf        vanillabarrow.Version
 	confirmedAt time.Time
+	// eraChangedAt is when the items of a later era replaced those of an earlier one,
+	// zero for never.
+	eraChangedAt time.Time
 	// removalsFrom is the revision from which the table knows all removals but
 	// those that listings hide: it is raised by purged tombstones and forgotten
 	// listings. fullSequence is the same as a sequence number: a stream whose
@@ -65,26 +70,72 @@
 }
 
 // NewTable returns an empty table. The incarnation identifies this run of the
-// node.
-func NewTable(incarnation string) *Table {
+// node. The order compares items of different eras.
+func NewTable(incarnation string, order vanillabarrow.ItemOrder) *Table {
 	return &Table{
 		mu:          kernel.NewMutex(kernel.RankDiscovery),
 		incarnation: incarnation,
+		order:       order,
 		entries:     map[string]*entry{},
 		changed:     make(chan struct{}),
 		confirmed:   make(chan struct{}),
 	}
 }
 
-// Merge stores the items of a delta that are newer than the table's, and
-// reports whether any item changed. For each key the newest revision wins,
-// whatever its source and order of arrival.
-func (t *Table) Merge(d *vanillabarrow.Delta, now time.Time) bool {
+// MergeResult describes what a delta changed.
+type MergeResult struct {
+	// Changed is set if any item changed.
+	Changed bool
+	// EraChange is set if the delta began a later era.
+	EraChange *EraChange
+	// MayHaveNews is set if the delta names no era and has a higher revision than the
+	// table, so that only the platform can tell whether there is something new.
+	MayHaveNews bool
+}
+
+// Merge stores the items of a delta that are newer than the table's. For each key the
+// newest version wins, whatever its source and order of arrival. A delta of an earlier
+// era changes nothing, and neither does one of a later era that is not full.
+func (t *Table) Merge(d *vanillabarrow.Delta, now time.Time) MergeResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if d.WithoutEra && t.asOf.Era() != 0 {
+		return t.mergeWithoutEra(d, now)
+	}
+	isLater := t.asOf > 0 && d.AsOf.Era() > t.asOf.Era()
+	if d.AsOf.Era() < t.asOf.Era() || isLater && !d.Full {
+		return MergeResult{}
+	}
 	before := t.sequence
-	listed := make(map[string]bool, len(d.Items))
+	listed := t.putItems(d, now)
+	result := MergeResult{}
+	switch {
+	case isLater:
+		result.EraChange = t.beginEra(listed, d, now)
+	case d.Full:
+		t.removeMissing(listed, d, now)
+		t.addListing(d.AsOf)
+	}
+	t.asOf = max(t.asOf, d.AsOf)
+	t.confirm(d.AsOf, d.SourceAge, now)
+	t.purgeTombstones(now)
+	t.purgeKept(now)
+	if t.sequence != before {
+		result.Changed = true
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+	return result
+}
+
+// putItems stores the items of a delta that are newer than the table's, and returns the
+// keys of those that are not removed.
+func (t *Table) putItems(d *vanillabarrow.Delta, now time.Time) (listed map[string]bool) {
+	listed = make(map[string]bool, len(d.Items))
 	for _, item := range d.Items {
+		if item.Kept {
+			continue
+		}
 		if !item.Removed {
 			listed[item.Key] = true
 		}
@@ -92,19 +143,12 @@
 			t.putIfNewer(item, now)
 		}
 	}
-	if d.Full {
-		t.removeMissing(listed, d, now)
-		t.addListing(d.AsOf)
-	}
-	t.asOf = max(t.asOf, d.AsOf)
-	t.confirm(d.AsOf, d.SourceAge, now)
-	t.purgeTombstones(now)
-	if t.sequence == before {
-		return false
+	for _, item := range d.Items {
+		if item.Kept {
+			t.putKept(item)
+		}
 	}
-	close(t.changed)
-	t.changed = make(chan struct{})
-	return true
+	return listed
 }
 
 // Confirm notes that the platform confirmed a revision as current at the given
@@ -138,13 +182,23 @@
 		return
 	}
 	if item.Removed && item.Value == nil && ok {
-		item.Value, item.Created = old.item.Value, old.item.Created
+		last := old.inEffect()
+		item.Value, item.Created = last.Value, last.Created
+		if last.Removed {
+			// The copy of an item that was removed before does not come into effect.
+			item.KeepUntil = last.KeepUntil
+		}
 	}
 	if item.FirstSeenAt.IsZero() {
 		item.FirstSeenAt = now
 	}
+	t.put(item, t.keptBeside(item, old, now), old)
+}
+
+// put replaces the entry of an item.
+func (t *Table) put(item vanillabarrow.Item, kept *vanillabarrow.Item, old *entry) {
 	t.sequence++
-	t.entries[item.Key] = &entry{item: item, sequence: t.sequence, previous: old.revisionsToKeep()}
+	t.entries[item.Key] = &entry{item: item, kept: kept, sequence: t.sequence, previous: old.revisionsToKeep()}
 }
 
 // removeMissing replaces items that a full delta lacks by tombstones. Items
@@ -158,11 +212,12 @@
 		if listed[key] || e.item.Removed || e.item.Revision > d.AsOf || e.item.Revision <= d.FullAfter {
 			continue
 		}
-		tombstone := e.item
-		tombstone.Removed, tombstone.Revision, tombstone.FirstSeenAt = true, d.AsOf, now
-		tombstone.KeepUntil = until
-		t.sequence++
-		t.entries[key] = &entry{item: tombstone, sequence: t.sequence, previous: e.revisionsToKeep()}
+		tombstone := e.inEffect()
+		if !tombstone.Removed {
+			tombstone.KeepUntil = until
+		}
+		tombstone.Removed, tombstone.Kept, tombstone.Revision, tombstone.FirstSeenAt = true, false, d.AsOf, now
+		t.put(tombstone, nil, e)
 	}
 }
 
@@ -208,7 +263,7 @@
 	return t.confirmed
 }
 
-// AsOf returns the revision up to which all items are known, 0 before the first
+// AsOf returns the version up to which all items are known, 0 before the first
 // delta.
 func (t *Table) AsOf() vanillabarrow.Version {
 	t.mu.Lock()
@@ -224,111 +279,13 @@
 	return t.confirmedAt
 }
 
-// Since returns the items that the node which sent the request lacks: those
-// after its cursor, if that is of this incarnation, or else those with a
-// revision after AsOf. The delta is full if the table may not know every removal
-// that the node lacks, for the revisions that this concerns.
-func (t *Table) Since(r vanillabarrow.ItemRequest, now time.Time) *vanillabarrow.Delta {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	isHeld, full, fullAfter := t.holdings(r)
-	if r.CompleteLists {
-		fullAfter = 0
-	}
-	d := &vanillabarrow.Delta{
-		Cursor:    vanillabarrow.Cursor{Incarnation: t.incarnation, Sequence: t.sequence},
-		AsOf:      t.asOf,
-		Full:      full,
-		FullAfter: fullAfter,
-		SourceAge: unconfirmedAge,
-	}
-	if !t.confirmedAt.IsZero() {
-		d.SourceAge = now.Sub(t.confirmedAt)
-	}
-	for _, e := range t.entries {
-		switch {
-		case !isHeld(e):
-			d.Items = append(d.Items, e.item)
-		case full && !e.item.Removed && e.item.Revision > fullAfter:
-			d.Items = append(d.Items, vanillabarrow.Item{Key: e.item.Key, Revision: e.item.Revision, Unchanged: true})
-		}
-	}
-	slices.SortFunc(d.Items, func(a, b vanillabarrow.Item) int { return cmp.Compare(a.Revision, b.Revision) })
-	return d
-}
-
-// holdings returns which entries the node that sent a request holds, and whether
-// it needs a full delta to learn of removals, and if so after which revision.
-func (t *Table) holdings(r vanillabarrow.ItemRequest) (isHeld func(*entry) bool, full bool, fullAfter vanillabarrow.Version) {
-	if r.Cursor.Incarnation == t.incarnation {
-		full, fullAfter = t.hiddenRemovals(func(l listing) bool { return l.sequence > r.Cursor.Sequence })
-		isHeld = func(e *entry) bool { return e.sequence <= r.Cursor.Sequence }
-		if r.Cursor.Sequence < t.fullSequence {
-			return isHeld, true, 0
-		}
-		return isHeld, full, fullAfter
-	}
-	full, fullAfter = t.hiddenRemovals(func(l listing) bool { return l.revision > r.AsOf })
-	isHeld = func(e *entry) bool { return e.item.Revision <= r.AsOf }
-	if r.AsOf == 0 || r.AsOf < t.removalsFrom {
-		return isHeld, true, 0
-	}
-	return isHeld, full, fullAfter
-}
-
-// hiddenRemovals reports whether any of the listings that a node has not received
-// hides removals, and after which revision.
-func (t *Table) hiddenRemovals(isNews func(listing) bool) (hidden bool, after vanillabarrow.Version) {
-	for _, l := range t.listings {
-		if !isNews(l) {
-			continue
-		}
-		if !hidden || l.after < after {
-			after = l.after
-		}
-		hidden = true
-	}
-	return hidden, after
-}
-
-// bases returns the items that the table holds and whose values can be the base
-// of a patch.
-func (t *Table) bases() heldValues {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	held := heldValues{}
-	for key, e := range t.entries {
-		if isBase(e.item) {
-			held[key] = e.item
-		}
-	}
-	return held
-}
-
-// basesOf returns those of the listed revisions that the table still has.
-func (t *Table) basesOf(list []vanillabarrow.HeldItem) heldValues {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	held := heldValues{}
-	for _, h := range list {
-		e, ok := t.entries[h.Key]
-		if !ok {
-			continue
-		}
-		if item, ok := e.revision(h.Revision); ok {
-			held[h.Key] = item
-		}
-	}
-	return held
-}
-
 // Effective returns the items in effect and the expired ones, sorted by key,
 // and when the result changes next by time alone, zero for never.
 func (t *Table) Effective(now time.Time) (items []vanillabarrow.Item, nextChange time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range t.entries {
-		item, next, ok := effectiveItem(e.item, now)
+		item, next, ok := effectiveItem(e.inEffect(), now)
 		if !ok {
 			continue
 		}
--- a/internal/discovery/table_test.go
+++ b/internal/discovery/table_test.go
@@ -86,7 +86,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			table := NewTable("one")
+			table := NewTable("one", valueOrder{})
 			for _, d := range tt.deltas {
 				table.Merge(d, now)
 			}
@@ -128,7 +128,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
-			table := NewTable("one")
+			table := NewTable("one", valueOrder{})
 			table.Merge(&vanillabarrow.Delta{AsOf: 4, Items: []vanillabarrow.Item{removed(now.Add(tt.firstSeenAt))}}, now)
 			items, _ := table.Effective(now.Add(tt.after))
 			if !tt.want {
@@ -146,7 +146,7 @@
 // times.
 func TestListingRemoves(t *testing.T) {
 	now := time.Now()
-	table := NewTable("one")
+	table := NewTable("one", valueOrder{})
 	table.Merge(&vanillabarrow.Delta{AsOf: 3, Items: []vanillabarrow.Item{item("a", "a", 3)}}, now)
 	table.Merge(&vanillabarrow.Delta{AsOf: 7, Full: true}, now)
 	_, until := table.Effective(now)
@@ -159,7 +159,7 @@
 
 func TestConfirmed(t *testing.T) {
 	now := time.Now()
-	table := NewTable("one")
+	table := NewTable("one", valueOrder{})
 	require.Equal(t, unconfirmedAge, table.Since(vanillabarrow.ItemRequest{}, now).SourceAge)
 	table.Merge(&vanillabarrow.Delta{AsOf: 3, SourceAge: time.Second}, now)
 	require.Equal(t, now.Add(-time.Second), table.ConfirmedAt())
@@ -174,7 +174,7 @@
 
 // newTables returns an empty store and the tables of three nodes.
 func newTables() (*fakeStore, []*Table) {
-	return &fakeStore{values: map[string]string{}}, []*Table{NewTable("a"), NewTable("b"), NewTable("c")}
+	return &fakeStore{values: map[string]string{}}, []*Table{NewTable("a", valueOrder{}), NewTable("b", valueOrder{}), NewTable("c", valueOrder{})}
 }
 
 // step writes to the store if the step is 0 or 1, merges a watch into the table
@@ -242,12 +242,12 @@
 // holds. Keys of items that are listed without a value end in an equals sign.
 func TestSince(t *testing.T) {
 	now := time.Now()
-	table := NewTable("one")
+	table := NewTable("one", valueOrder{})
 	table.Merge(&vanillabarrow.Delta{AsOf: 2, Items: []vanillabarrow.Item{item("a", "a", 1), item("b", "b", 2)}}, now)
 	table.Merge(&vanillabarrow.Delta{AsOf: 4, Items: []vanillabarrow.Item{item("b", "c", 3), removed("d", 4, now)}}, now)
 	purged := now.Add(2 * tombstoneRetention)
 	table.Merge(&vanillabarrow.Delta{AsOf: 5, Items: []vanillabarrow.Item{item("e", "e", 5)}}, purged)
-	listed := NewTable("one")
+	listed := NewTable("one", valueOrder{})
 	listed.Merge(table.Since(vanillabarrow.ItemRequest{}, purged), purged)
 	listed.Merge(&vanillabarrow.Delta{AsOf: 7, Full: true, Items: []vanillabarrow.Item{item("b", "c", 3), item("e", "f", 6)}}, purged)
 	cursor := func(incarnation string, sequence uint64) vanillabarrow.ItemRequest {
@@ -312,7 +312,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
-			reader, follower := NewTable("reader"), NewTable("follower")
+			reader, follower := NewTable("reader", valueOrder{}), NewTable("follower", valueOrder{})
 			first := &vanillabarrow.Delta{AsOf: 2, Items: []vanillabarrow.Item{item("old", "1", 1), item("other", "2", 2)}}
 			reader.Merge(first, now)
 			follower.Merge(first, now)
--- a/internal/discovery/tombstone_patch_test.go
+++ b/internal/discovery/tombstone_patch_test.go
@@ -17,7 +17,7 @@
 func TestPatchAgainstTombstoneIsRestored(t *testing.T) {
 	now := time.Now()
 	listing := &vanillabarrow.Delta{AsOf: 8, Full: true}
-	sender, receiver := NewTable("sender"), NewTable("receiver")
+	sender, receiver := NewTable("sender", valueOrder{}), NewTable("receiver", valueOrder{})
 	receiver.Merge(&vanillabarrow.Delta{AsOf: 3, Items: []vanillabarrow.Item{item("routes", string(randomValue(3)), 3)}}, now)
 	sender.Merge(&vanillabarrow.Delta{AsOf: 5, Items: []vanillabarrow.Item{item("routes", string(randomValue(5)), 5)}}, now)
 	receiver.Merge(listing, now)
--- a/internal/discovery/transit_test.go
+++ b/internal/discovery/transit_test.go
@@ -42,7 +42,7 @@
 // slow node, and against cold targets that count as warm there.
 func TestTransitOfItems(t *testing.T) {
 	f := NewFollower(Config{
-		Table: NewTable("a1"), Members: membership.New("a1", "a", 1), Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		Table: NewTable("a1", valueOrder{}), Members: membership.New("a1", "a", 1), Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 	})
 	now := time.Now()
 	d := &vanillabarrow.Delta{
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -63,6 +63,8 @@
 	EventHistoryLost            = "platform history lost"
 	EventListingChosen          = "platform listing chosen"
 	EventRevisionFell           = "platform revision fell"
+	EventEraChanged             = "platform era changed"
+	EventResponseOutdated       = "platform response outdated"
 	EventWatchUnanswered        = "platform watch unanswered"
 	EventEraUnreadable          = "platform era unreadable"
 	EventPlatformReadStarted    = "platform reading begun"
@@ -155,7 +157,9 @@
 		EventPlatformRecovered:      {[]string{"failures"}, "a call to the platform succeeded again"},
 		EventHistoryLost:            {[]string{"after"}, "the platform no longer has the changes after this revision; all items are listed again"},
 		EventListingChosen:          {[]string{"cause", "after"}, "the next call lists all items in place of a watch after this revision, whose response did not arrive or would be larger"},
-		EventRevisionFell:           {[]string{"call", "revision", "held"}, "a response of the platform to this call has a lower revision than this node held when the call began: the platform lost changes that it had acknowledged; logged once until a response has a revision that is not lower"},
+		EventRevisionFell:           {[]string{"call", "asOf", "held"}, "a response of the platform to this call has a lower revision than this node held when the call began: the platform lost changes that it had acknowledged, and a listing follows; logged once until a response has a revision that is not lower"},
+		EventEraChanged:             {[]string{"from", "before", "asOf", "kept", "lost"}, "the platform was restored from an older copy, and the items of the later era are in effect; kept is the number of items of earlier eras that stay in effect because the copy has older ones, lost that of items that the copy lacks"},
+		EventResponseOutdated:       {[]string{"call", "asOf", "held"}, "a response of the platform is of an earlier era than the items held when the call began; it changes nothing and counts as a failure"},
 		EventWatchUnanswered:        {[]string{"after", "waited"}, "a watch got no response within this time while the platform responded to probes"},
 		EventEraUnreadable:          {[]string{"value"}, "a response of the platform states its era with this value, of which the first 64 bytes are logged, which is empty, repeated with different values, not a decimal number or too large; the response counts as of the era that the node holds; logged once until a response has a readable value or none"},
 		EventPlatformReadStarted:    {[]string{"reader", "age", "asOf"}, "this node starts to read the platform: as a reader, or because the platform's last confirmation is too old"},
--- a/internal/peer/slow_link_test.go
+++ b/internal/peer/slow_link_test.go
@@ -58,7 +58,7 @@
 // startSlowDiscovery starts a node that holds a large item and sends it slowly.
 // It returns the node's address.
 func startSlowDiscovery(t *testing.T, pieces int, delay time.Duration) string {
-	table := discovery.NewTable("sender")
+	table := discovery.NewTable("sender", nil)
 	table.Merge(&vanillabarrow.Delta{AsOf: 3, Full: true, Items: []vanillabarrow.Item{
 		{Key: "routes", Value: []byte(strings.Repeat(rand.Text(), 50)), Revision: 3},
 	}}, time.Now())
--- a/internal/trace/timeline.go
+++ b/internal/trace/timeline.go
@@ -61,7 +61,7 @@
 	logging.EventTargetDraining: true, logging.EventTargetExpired: true, logging.EventExpiredTargetServed: true, logging.EventExpiredTargetNotServed: true,
 	logging.EventDataCentreOutOfService: true, logging.EventDataCentreInService: true,
 	logging.EventItemRejected: true, logging.EventPlatformUnavailable: true, logging.EventPlatformRecovered: true,
-	logging.EventHistoryLost: true, logging.EventListingChosen: true, logging.EventRevisionFell: true, logging.EventWatchUnanswered: true, logging.EventEraUnreadable: true, logging.EventPlatformReadStarted: true, logging.EventPlatformReadStopped: true,
+	logging.EventHistoryLost: true, logging.EventListingChosen: true, logging.EventRevisionFell: true, logging.EventEraChanged: true, logging.EventResponseOutdated: true, logging.EventWatchUnanswered: true, logging.EventEraUnreadable: true, logging.EventPlatformReadStarted: true, logging.EventPlatformReadStopped: true,
 	logging.EventPeerConnected: true, logging.EventPeerDisconnected: true, logging.EventVersionApplied: true,
 	logging.EventVersionNotApplied: true, logging.EventPaused: true, logging.EventSettingsReloaded: true,
 	logging.EventStarting: true, logging.EventReady: true, logging.EventStopping: true, logging.EventStopped: true,
--- a/items.go
+++ b/items.go
@@ -215,6 +215,10 @@
 	// version exists.
 	ConfirmedAt time.Time  `json:"confirmedAt"`
 	Rejection   *Rejection `json:"rejection,omitempty"`
+	// EraChangedAt is when items of a later era replaced those of an earlier one, zero
+	// for never. Kept is the number of items of earlier eras that stay in effect.
+	EraChangedAt time.Time `json:"eraChangedAt,omitzero"`
+	Kept         int       `json:"kept,omitempty"`
 	// VMsHeld is the version of the VM list.
 	VMsHeld uint64 `json:"vmsHeld"`
 	// VMsRejection is set while the VM list held is invalid and an older one, if
