List when watches do not respond

Nodes that hold items only watched: with a store whose watches never respond, no change arrived, while probes and listings would have shown it. A watch that gets no response while probes do is followed by a listing and by watches with a short wait beside exact probes, until one of full length gets a response. A watch that is behind two probes, or one exact probe, and whose response has not begun, gives way to a listing. Where no probe runs, every second call after one without a response is a listing. Such a failure does not make the node count as disconnected, so that its gate no longer serves a target that was removed.

--- a/internal/discovery/era.go
+++ b/internal/discovery/era.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/logging"
@@ -79,12 +80,17 @@
 
 // isAnsweredElsewhere reports whether a call failed although the platform responds, and
 // notes what the failure shows. A listing has to follow.
-func (f *Follower) isAnsweredElsewhere(s *sourceState, err error) bool {
+func (f *Follower) isAnsweredElsewhere(s *sourceState, callStart time.Time, err error) bool {
 	var fell *revisionFellError
 	switch {
 	case errors.As(err, &fell):
 		f.noteRevisionFell(s, "probe", fell.version, fell.held)
 	case errors.Is(err, errRestored):
+	case errors.Is(err, errWatchBehind), f.isWatchUnanswered(callStart, err):
+		f.Scope.Counter("unansweredWatches").Inc(1)
+		if s.watches.recordUnanswered(f.timers.probeInterval) {
+			f.Logger.Warn(logging.EventWatchUnanswered, "after", s.after, "waited", time.Since(callStart))
+		}
 	default:
 		return false
 	}
--- a/internal/discovery/probe.go
+++ b/internal/discovery/probe.go
@@ -2,13 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 	"github.com/vanillabarrow/vanillabarrow/internal/sleep"
 )
 
+// errProbeFailed ends a watch during which a probe got no response.
+var errProbeFailed = errors.New("probe during a watch")
+
+// errWatchBehind ends a watch that has no response although probes show a newer version.
+var errWatchBehind = errors.New("a probe shows a newer version than the watch")
+
 // revisionFellError ends a watch during which an exact probe showed a lower revision
 // than was held when the probe began.
 type revisionFellError struct{ version, held vanillabarrow.Version }
@@ -22,18 +30,27 @@
 type waitingWatch struct {
 	// after is the version that this node holds and waits for news of.
 	after vanillabarrow.Version
+	// exact is set if only probes for the newest version confirm the data, since a watch
+	// got no response lately.
+	exact bool
+	// begun is set when the response begins.
+	begun atomic.Bool
+	// ahead is set once a probe showed a newer version. Only loopProbe uses it.
+	ahead bool
 	// abandon ends the watch.
 	abandon context.CancelCauseFunc
 }
 
 // watchWithProbes watches the platform, while loopProbe checks that it responds.
-func (f *Follower) watchWithProbes(ctx context.Context, after vanillabarrow.Version) (*vanillabarrow.Delta, error) {
+func (f *Follower) watchWithProbes(ctx context.Context, after vanillabarrow.Version, pacer *watchPacer) (*vanillabarrow.Delta, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	w := &waitingWatch{after: after, abandon: cancel}
+	w := &waitingWatch{after: after, exact: pacer.isShortened(), abandon: cancel}
 	f.watch.Store(w)
 	defer f.watch.Store(nil)
-	d, err := f.Source.Watch(ctx, vanillabarrow.WatchRequest{After: after, Wait: f.timers.watchWait})
+	d, err := f.Source.Watch(ctx, vanillabarrow.WatchRequest{
+		After: after, Wait: pacer.wait(f.timers.watchWait), OnBegin: func() { w.begun.Store(true) },
+	})
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		return nil, cause
 	}
@@ -44,7 +61,7 @@
 func (f *Follower) loopProbe(ctx context.Context) {
 	for sleep.For(ctx, f.timers.probeInterval) {
 		if w := f.watch.Load(); w != nil {
-			f.probe(ctx, w, false)
+			f.probe(ctx, w, w.exact)
 		}
 	}
 }
@@ -61,7 +78,7 @@
 		return
 	}
 	if err != nil {
-		w.abandon(fmt.Errorf("probe during a watch: %w", err))
+		w.abandon(fmt.Errorf("%w: %w", errProbeFailed, err))
 		return
 	}
 	f.probedAt.Store(time.Since(f.startedAt).Nanoseconds())
@@ -73,6 +90,7 @@
 		w.abandon(errRestored)
 	case version > w.after:
 		f.Scope.Counter("probesAhead").Inc(1)
+		f.handleAhead(w)
 	case !exact:
 		f.Scope.Counter("probesBehind").Inc(1)
 		f.probe(ctx, w, true)
@@ -81,7 +99,53 @@
 	}
 }
 
-// respondedTo reports whether the platform responded to a probe after the given time.
-func (f *Follower) respondedTo(since time.Time) bool {
-	return f.probedAt.Load() > since.Sub(f.startedAt).Nanoseconds()
+// handleAhead abandons a watch whose response has not begun although a probe showed a
+// newer version before, or watches get no responses lately.
+func (f *Follower) handleAhead(w *waitingWatch) {
+	if (w.ahead || w.exact) && !w.begun.Load() {
+		w.abandon(errWatchBehind)
+	}
+	w.ahead = true
+}
+
+// isWatchUnanswered reports whether a watch that began at callStart got no response while
+// the platform responded to probes.
+func (f *Follower) isWatchUnanswered(callStart time.Time, err error) bool {
+	responded := f.probedAt.Load() > callStart.Sub(f.startedAt).Nanoseconds()
+	return responded && errors.Is(err, vanillabarrow.ErrNoResponse) && !errors.Is(err, errProbeFailed)
+}
+
+// watchPacer shortens the wait of watches after one that got no response, in case that
+// long waits are the cause.
+type watchPacer struct {
+	// shortened is the wait of the next watch, 0 for the full one.
+	shortened time.Duration
+}
+
+// isShortened reports whether a watch got no response lately.
+func (p *watchPacer) isShortened() bool { return p.shortened > 0 }
+
+// wait returns the wait of the next watch.
+func (p *watchPacer) wait(full time.Duration) time.Duration {
+	if p.isShortened() {
+		return min(p.shortened, full)
+	}
+	return full
+}
+
+// recordUnanswered makes the next watch wait for the given time, and reports whether
+// this is the first watch without a response.
+func (p *watchPacer) recordUnanswered(shortened time.Duration) (first bool) {
+	first = !p.isShortened()
+	p.shortened = shortened
+	return first
+}
+
+// recordResponse doubles the wait of the next watch, until one of the full wait has got
+// a response.
+func (p *watchPacer) recordResponse(full time.Duration) {
+	if p.shortened >= full {
+		p.shortened = 0
+	}
+	p.shortened *= 2
 }
--- a/internal/discovery/probe_test.go
+++ b/internal/discovery/probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -22,19 +23,26 @@
 		// revision is that of the platform, stale the one of reads that may be out of
 		// date. The node holds 3.
 		revision, stale vanillabarrow.Version
+		// exact, ahead and begun are the state of the watch.
+		exact, ahead, begun bool
 		// confirmed is set if the data is confirmed, abandoned if the watch ends.
 		confirmed, abandoned bool
 	}{
-		"responds":                        {revision: 3, stale: 3, confirmed: true},
-		"responds from an older copy":     {revision: 3, stale: 2, confirmed: true},
-		"went back":                       {revision: 2, stale: 2, abandoned: true},
-		"went back to a later era":        {revision: eraVersion(1, 2), stale: eraVersion(1, 2), abandoned: true},
-		"newer, older copy":               {revision: 4, stale: 2},
-		"shows a newer revision":          {revision: 4, stale: 4},
-		"does not respond":                {unavailable: true, revision: 3, stale: 3, abandoned: true},
-		"responds after the watch":        {ended: true, revision: 3, stale: 3},
-		"does not respond after it ended": {unavailable: true, ended: true, revision: 3, stale: 3},
-		"went back after the watch":       {ended: true, revision: 2, stale: 2},
+		"responds":                         {revision: 3, stale: 3, confirmed: true},
+		"responds from an older copy":      {revision: 3, stale: 2, confirmed: true},
+		"went back":                        {revision: 2, stale: 2, abandoned: true},
+		"went back to a later era":         {revision: eraVersion(1, 2), stale: eraVersion(1, 2), abandoned: true},
+		"newer, older copy":                {revision: 4, stale: 2},
+		"shows a newer revision":           {revision: 4, stale: 4},
+		"again":                            {revision: 4, stale: 4, ahead: true, abandoned: true},
+		"again as the response arrives":    {revision: 4, stale: 4, ahead: true, begun: true},
+		"newer after an unanswered watch":  {revision: 4, stale: 3, exact: true, abandoned: true},
+		"same after an unanswered watch":   {revision: 3, stale: 2, exact: true, confirmed: true},
+		"does not respond":                 {unavailable: true, revision: 3, stale: 3, abandoned: true},
+		"responds after the watch":         {ended: true, revision: 3, stale: 3},
+		"does not respond after it ended":  {unavailable: true, ended: true, revision: 3, stale: 3},
+		"went back after the watch":        {ended: true, revision: 2, stale: 2},
+		"shows a newer one after it ended": {ended: true, revision: 4, stale: 4, ahead: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -45,13 +53,50 @@
 			f.Table.Merge(&vanillabarrow.Delta{AsOf: 3, Full: true, SourceAge: time.Minute}, time.Now())
 			ctx, cancel := context.WithCancelCause(t.Context())
 			defer cancel(nil)
-			w := &waitingWatch{after: 3, abandon: cancel}
+			w := &waitingWatch{after: 3, exact: tt.exact, ahead: tt.ahead, abandon: cancel}
+			w.begun.Store(tt.begun)
 			if !tt.ended {
 				f.watch.Store(w)
 			}
-			f.probe(t.Context(), w, false)
+			f.probe(t.Context(), w, w.exact)
 			require.Equal(t, tt.confirmed, time.Since(f.Table.ConfirmedAt()) < time.Second)
 			require.Equal(t, tt.abandoned, ctx.Err() != nil)
 		})
 	}
 }
+
+// TestWatchPacer guards against watches that wait for long while long waits get no
+// response, and against short ones that are never lengthened again.
+func TestWatchPacer(t *testing.T) {
+	const full, short = 2 * time.Second, 500 * time.Millisecond
+	tests := map[string]struct {
+		// results holds a letter for each watch: a for answered, u for unanswered.
+		results string
+		wait    time.Duration
+		exact   bool
+	}{
+		"none":                     {"", full, false},
+		"answered":                 {"aa", full, false},
+		"unanswered":               {"au", short, true},
+		"answered after it":        {"ua", time.Second, true},
+		"full again, not yet":      {"uaa", full, true},
+		"answered at full length":  {"uaaa", full, false},
+		"unanswered again":         {"uau", short, true},
+		"unanswered at full again": {"uaaau", short, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, first := &watchPacer{}, 0
+			for _, result := range tt.results {
+				if result == 'a' {
+					p.recordResponse(full)
+				} else if p.recordUnanswered(short) {
+					first++
+				}
+			}
+			require.Equal(t, tt.wait, p.wait(full))
+			require.Equal(t, tt.exact, p.isShortened())
+			require.Equal(t, strings.Count(tt.results, "u") > 0, first > 0)
+		})
+	}
+}
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -19,8 +19,12 @@
 	// after is the version to watch from, 0 when a listing is needed.
 	after    vanillabarrow.Version
 	failures int
+	// listNext makes the next call a listing although after is known.
+	listNext bool
 	// relists counts consecutive listings that followed calls which ended quickly.
 	relists int
+	// watches adapts to watches that get no response.
+	watches watchPacer
 	// listedBytes is the size of the last listing, 0 before the first.
 	listedBytes int
 	// unconfirmed is set until the first response since the node began to read.
@@ -147,7 +151,8 @@
 }
 
 func (f *Follower) listOrWatch(ctx context.Context, s *sourceState) (*vanillabarrow.Delta, error) {
-	if s.after == 0 {
+	if s.after == 0 || s.listNext {
+		s.listNext = false
 		f.Scope.Counter("lists").Inc(1)
 		return f.Source.List(ctx, f.Table.AsOf())
 	}
@@ -155,9 +160,10 @@
 	if s.failures > 0 || s.unconfirmed {
 		return f.Source.Watch(ctx, vanillabarrow.WatchRequest{After: s.after, Wait: recoveryWatchWait})
 	}
-	d, err := f.watchWithProbes(ctx, s.after)
+	d, err := f.watchWithProbes(ctx, s.after, &s.watches)
 	if err == nil {
 		s.relists = 0
+		s.watches.recordResponse(f.timers.watchWait)
 	}
 	return d, err
 }
@@ -168,7 +174,7 @@
 		f.relist(ctx, s, callStart)
 		return
 	}
-	if f.isAnsweredElsewhere(s, err) {
+	if f.isAnsweredElsewhere(s, callStart, err) {
 		// The platform responds, so this is no failure of it.
 		f.relist(ctx, s, callStart)
 		return
@@ -178,10 +184,6 @@
 		f.listNext(s, cause)
 		return
 	}
-	if errors.Is(err, vanillabarrow.ErrNoResponse) && f.respondedTo(callStart) {
-		f.Scope.Counter("unansweredWatches").Inc(1)
-		f.Logger.Warn(logging.EventWatchUnanswered, "after", s.after, "waited", time.Since(callStart))
-	}
 	s.recordFailure(callStart, time.Now(), f.Table.ConfirmedAt(), err)
 	f.connectivity.recordFailure(callStart)
 	f.Scope.Counter("sourceErrors").Inc(1)
@@ -190,9 +192,13 @@
 	}
 	f.listNext(s, cause)
 	f.updateReadiness(time.Now())
-	if s.failures == 1 && errors.Is(err, vanillabarrow.ErrNoResponse) {
-		// The connection may be silent, which a new one shows at once.
-		return
+	if errors.Is(err, vanillabarrow.ErrNoResponse) {
+		// Watches alone may get no response.
+		s.listNext = s.failures%2 == 1
+		if s.failures == 1 {
+			// The connection may be silent, which a new one shows at once.
+			return
+		}
 	}
 	backoff.Wait(ctx, s.failures)
 }
