Slow down the search for a parent where no node has recent data

While no node had recent data, each changed its parents about five times a second, with a log line for each, as the pause ended at 0.8 s and was drawn below it. After eight nodes without recent data the pause now grows to 4 s. A node without recent data calls the store itself, so that this costs no time.

TestSearchSlowsDownWithoutRecentData is new.

--- a/internal/discovery/parent.go
+++ b/internal/discovery/parent.go
@@ -20,6 +20,11 @@
 	// fallbackPeerCount bounds the nodes chosen at random when the data of this
 	// node is stale.
 	fallbackPeerCount = 4
+	// quickSearches is the number of nodes without recent data after which the pause
+	// before the next one grows from backoffMax to maxSearchPause: the platform is then
+	// the likely cause, and it is called by each node.
+	quickSearches  = 8
+	maxSearchPause = 4 * time.Second
 	// fallbackParentTime bounds the time with a parent that is not the first
 	// choice, so that the relay tree recovers after a failure.
 	fallbackParentTime = 20 * time.Second
@@ -65,6 +70,17 @@
 	s.failures++
 }
 
+// searchBackoff bounds the pause after quickSearches.
+var searchBackoff = follow.Backoff{Base: backoffMax, Max: maxSearchPause}
+
+// pause returns the time until the next node is tried.
+func (s *parentSearch) pause() time.Duration {
+	if s.failures <= quickSearches {
+		return backoff.Delay(s.failures)
+	}
+	return searchBackoff.Delay(s.failures - quickSearches)
+}
+
 // loopParent keeps following one parent, and chooses another when a stream
 // ends. The first slot is for a node of the own data centre, the second for one
 // of another data centre.
@@ -86,7 +102,7 @@
 		}
 		f.Scope.Counter("peersLost").Inc(1)
 		f.Logger.Info(logging.EventPeerDisconnected, "slot", slot, "peer", address, "failures", search.failures, "error", err)
-		backoff.Wait(ctx, search.failures)
+		sleep.For(ctx, search.pause())
 	}
 }
 
--- a/internal/discovery/parent_test.go
+++ b/internal/discovery/parent_test.go
@@ -69,3 +69,29 @@
 		}
 	})
 }
+
+// TestSearchSlowsDownWithoutRecentData guards against nodes that change their parents
+// several times a second for as long as no node has recent data.
+func TestSearchSlowsDownWithoutRecentData(t *testing.T) {
+	tests := map[string]struct {
+		failures  int
+		low, high time.Duration
+	}{
+		"first":             {1, backoffBase / 2, backoffBase/2 + 2*backoffBase},
+		"last quick one":    {quickSearches, backoffBase / 2, backoffBase/2 + backoffMax},
+		"first slow one":    {quickSearches + 1, backoffMax / 2, backoffMax/2 + 2*backoffMax},
+		"after a long time": {100, backoffMax / 2, backoffMax/2 + maxSearchPause},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			search, longest := &parentSearch{failures: tt.failures}, time.Duration(0)
+			for range 200 {
+				pause := search.pause()
+				require.GreaterOrEqual(t, pause, tt.low)
+				require.Less(t, pause, tt.high)
+				longest = max(longest, pause)
+			}
+			require.Greater(t, longest, (tt.low+tt.high)/2)
+		})
+	}
+}
