--- a/internal/operator/sampler.go
+++ b/internal/operator/sampler.go
@@ -42,8 +42,10 @@
 // Tick sets the gauges to their current values.
 func (s *Sampler) Tick(context.Context) {
 	status := s.rollout.Status()
-	s.scope.Gauge("configHeld").Update(float64(status.Held))
-	s.scope.Gauge("configInForce").Update(float64(status.InForce))
+	s.scope.Gauge("configHeld").Update(float64(status.Held.Revision()))
+	s.scope.Gauge("configInForce").Update(float64(status.InForce.Revision()))
+	s.scope.Gauge("configEra").Update(float64(status.Held.Era().Stated()))
+	s.scope.Gauge("configKept").Update(float64(status.Kept))
 	if !status.ConfirmedAt.IsZero() {
 		s.scope.Gauge("configAge").Update(time.Since(status.ConfirmedAt).Seconds())
 	}
--- a/pkg/cmd/explain/explain.go
+++ b/pkg/cmd/explain/explain.go
@@ -123,7 +123,7 @@
 
 // decision returns the lines above the table.
 func decision(e *dispatch.Explanation) []string {
-	lines := []string{fmt.Sprintf("configuration %d, route %s, service %s", e.Version, orNone(e.Route), orNone(e.Service))}
+	lines := []string{fmt.Sprintf("configuration %s, route %s, service %s", e.Version, orNone(e.Route), orNone(e.Service))}
 	if e.Route != "" {
 		kind := "not idempotent"
 		if e.Idempotent {
--- a/pkg/cmd/fleet/status/status.go
+++ b/pkg/cmd/fleet/status/status.go
@@ -202,7 +202,7 @@
 			continue
 		}
 		s := r.Status
-		table.AddRow(r.Address, s.VM, s.DataCentre, s.Version, fmt.Sprintf("%.1fs", s.ConfigAgeSeconds),
+		table.AddRow(r.Address, s.VM, s.DataCentre, versionOf(s), fmt.Sprintf("%.1fs", s.ConfigAgeSeconds),
 			stateOf(s), roleOf(s), strings.Join(s.Parents, ","), rejectionOf(s))
 	}
 	return table.Print()
@@ -244,6 +244,15 @@
 	return strings.Join(nodes, ", ")
 }
 
+// versionOf returns the version in force, with the number of items of earlier eras that
+// stay in effect, if there are any.
+func versionOf(s *operator.Status) string {
+	if s.Rollout.Kept == 0 {
+		return s.Version.String()
+	}
+	return fmt.Sprintf("%s (%d kept)", s.Version, s.Rollout.Kept)
+}
+
 func stateOf(s *operator.Status) string {
 	switch {
 	case !s.Ready:
@@ -282,5 +291,5 @@
 	if more {
 		first += fmt.Sprintf(" (and %d more)", strings.Count(rest, "\n")+1)
 	}
-	return fmt.Sprintf("%s %d: %s", subject, r.Version, first)
+	return fmt.Sprintf("%s %s: %s", subject, r.Version, first)
 }
--- a/pkg/cmd/fleet/status/status_test.go
+++ b/pkg/cmd/fleet/status/status_test.go
@@ -123,3 +123,19 @@
 	require.Equal(t, "alpha\t36\t10\tvm-2\t0.50\t80.0/s\t36.0/s\t3\t7\tvm-3 30.0/s, vm-1 6.0/s\n"+
 		"beta\t5\t0\tvm-1\t1.00\t2.0/s\t2.0/s\t0\t0\t\n", out.String())
 }
+
+// TestEraIsShown guards against a fleet status that hides the era of a node's versions
+// on its way from the node to the table.
+func TestEraIsShown(t *testing.T) {
+	era, _ := vanillabarrow.NewEra(2)
+	want := &operator.Status{VM: "vm-1", DataCentre: "a", Ready: true, Version: vanillabarrow.NewVersion(era, 15), Rollout: vanillabarrow.RolloutStatus{Kept: 3}}
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(want) }))
+	defer ts.Close()
+	status, err := fetchStatus(t.Context(), ts.Client(), strings.TrimPrefix(ts.URL, "http://"))
+	require.NoError(t, err)
+	require.Equal(t, want.Version, status.Version)
+	var out bytes.Buffer
+	opts := &Options{ConfigOptions: cmdutil.ConfigOptions{IO: &iostreams.IOStreams{Out: &out}}}
+	require.NoError(t, write(opts, []Row{{Address: "x", Status: status}}))
+	require.Equal(t, "x\tvm-1\ta\t2/15 (3 kept)\t0.0s\tserving\trank 0\t\t\n", out.String())
+}
