Take nothing back from nodes that know no eras, and keep following them

During a rolling restart, nodes of the former build send revisions without an era. A node that knows an era takes nothing from them: an equal revision confirms its data as long as no change of era is known, a higher one makes it call the store. It leaves a node whose data is of an earlier era once that had the time to learn of the later one.

--- a/internal/discovery/fakes_test.go
+++ b/internal/discovery/fakes_test.go
@@ -390,10 +390,19 @@
 // startFleet starts a node on each of the VMs. Their peer addresses are the
 // names of the VMs.
 func startFleet(t *testing.T, s *fakeStore, relay *fakeRelay, vms []string) map[string]*node {
-	return startLoggingFleet(t, s, relay, vms, slog.New(slog.DiscardHandler))
+	return startLoggingFleet(t, s, relay, vms, discardLogs)
 }
 
+var discardLogs = slog.New(slog.DiscardHandler)
+
 func startLoggingFleet(t *testing.T, s *fakeStore, relay *fakeRelay, vms []string, logger *slog.Logger) map[string]*node {
+	nodes := newFleet(s, relay, vms, logger)
+	startNodesOf(t, nodes)
+	return nodes
+}
+
+// newFleet returns nodes that are not started.
+func newFleet(s *fakeStore, relay *fakeRelay, vms []string, logger *slog.Logger) map[string]*node {
 	relay.servers = map[string]*Server{}
 	nodes := map[string]*node{}
 	mu := &sync.Mutex{}
@@ -407,10 +416,13 @@
 		relay.servers[vm] = NewServer(table, vanillabarrow.DefaultBounds(), logger, tally.NoopScope)
 		nodes[vm] = n
 	}
+	return nodes
+}
+
+func startNodesOf(t *testing.T, nodes map[string]*node) {
 	for _, n := range nodes {
 		require.NoError(t, n.follower.Start())
 	}
-	return nodes
 }
 
 func stopNodes(nodes map[string]*node) {
--- a/internal/discovery/parent.go
+++ b/internal/discovery/parent.go
@@ -139,7 +139,7 @@
 		if f.shouldLeave(d) {
 			return errStale
 		}
-		recent = recent || d.SourceAge <= f.timers.staleAfter
+		recent = recent || d.SourceAge <= f.timers.staleAfter && !f.isOutdated(d)
 		if slot > 0 && !request.AnnounceOnly && f.Table.AsOf() > 0 {
 			return errItemsHeld
 		}
@@ -153,8 +153,12 @@
 
 // shouldLeave reports whether another node is to be followed than the one that sent
 // a delta, because that has no recent data: this node has none either, or has it
-// from elsewhere.
+// from elsewhere. Data of an earlier era is not recent once the other node had the time to
+// learn of the later one.
 func (f *Follower) shouldLeave(d *vanillabarrow.Delta) bool {
+	if f.isOutdated(d) && time.Since(f.Table.EraChangedAt()) > f.timers.staleAfter {
+		return true
+	}
 	if d.SourceAge <= f.timers.staleAfter {
 		return false
 	}
@@ -162,10 +166,24 @@
 	return f.isStale() || age < d.SourceAge-f.timers.heartbeatInterval
 }
 
+// isOutdated reports whether a delta from another node is of an earlier era than this
+// node's data. Nodes of an earlier version name no era; they are followed until a change
+// of era is known.
+func (f *Follower) isOutdated(d *vanillabarrow.Delta) bool {
+	if d.WithoutEra && f.Table.EraChangedAt().IsZero() {
+		return false
+	}
+	return d.AsOf.Era() < f.Table.AsOf().Era()
+}
+
 // handleAnnouncement waits until the announced revision is held, and notes the
 // confirmation that nothing newer exists. If the revision does not arrive in
 // time, it pulls the items from the announcing node.
 func (f *Follower) handleAnnouncement(ctx context.Context, address string, d *vanillabarrow.Delta) {
+	if d.WithoutEra && f.Table.AsOf().Era() != 0 {
+		f.merge(d, address)
+		return
+	}
 	announcedAt := time.Now()
 	if !f.waitForRevision(ctx, d.AsOf, announceGracePeriod) {
 		if err := f.syncFrom(ctx, address, pullAnnouncement); err != nil {
