Tell a rejected health check from an unhealthy target

A target at capacity rejects a health check with 503 and X-Not-Executed, which does not show whether it is healthy or leaving. Health.Shed keeps the two apart. Nothing reads the field yet. TestHealth passes.

--- a/items.go
+++ b/items.go
@@ -191,6 +191,9 @@
 // Health is the result of a target's health check.
 type Health struct {
 	OK bool
+	// Shed is set if the target rejected the check because it is at capacity. The
+	// response then does not show whether the target is healthy.
+	Shed bool
 	// Target is the name of the target that responded, empty if it sent none.
 	Target string
 	// WarmUpRemaining is the time until the target's warm-up ends.
