Refuse requests for a target that reports that it is leaving

Cause: a gate learns that its target leaves from the store alone. While the store does not respond, or was restored from a copy in which the target is still ready, requests are sent to a target that has begun to leave.

Change: in the profile store the prober sends a health check at least every half of bounds.drain. Two consecutive responses other than 200, by the own target and not rejected for lack of capacity, mean that it is leaving: new attempts and those that wait for a slot are refused (not-run, targetOut), and the load is reported as unavailable, until a check with 200 or another target at the address ends it. The first such response resets the backoff, so that earlier failed or rejected checks do not delay the second one. After a check that was rejected or got no response, the next one follows after the usual backoff in place of the interval, since it does not show whether the target is leaving. A response to a periodic check is logged only if it differs from the one before. The profile inventory sends no periodic checks.

--- a/internal/gate/expired.go
+++ b/internal/gate/expired.go
@@ -51,6 +51,7 @@
 	if health.OK && (health.Target == "" || health.Target == name) {
 		g.lastHealthy.Store(int64(now.Sub(g.start)))
 	}
+	g.recordLeaving(name, health, now)
 }
 
 // isReplaced reports whether a target other than the given one responded to the
@@ -62,12 +63,12 @@
 }
 
 // needsHealthCheck reports whether the target needs a health check: its
-// registration has expired while this node does not reach the platform, or another
-// target has replaced it.
+// registration has expired while this node does not reach the platform, another
+// target has replaced it, or it has reported that it is leaving.
 func (g *Gate) needsHealthCheck(now time.Time) bool {
 	target := g.ownTarget.Resolve(g.cfg.Snapshot())
 	if target == nil {
 		return false
 	}
-	return target.Expired && g.connectivity.IsDisconnected(now) || g.isReplaced(target)
+	return target.Expired && g.connectivity.IsDisconnected(now) || g.isReplaced(target) || g.leavingReports.Load().checks > 0
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -53,7 +53,9 @@
 	lastHealthy   atomic.Int64
 	servesExpired atomic.Bool
 	lastResponder atomic.Pointer[healthResponder]
-	suspension    *suspension
+	// leavingReports is set by the prober and never nil.
+	leavingReports atomic.Pointer[leavingReports]
+	suspension     *suspension
 }
 
 // Config holds the dependencies of a gate.
@@ -100,6 +102,7 @@
 	}
 	// No health check has succeeded yet.
 	g.lastHealthy.Store(int64(-healthValidity))
+	g.leavingReports.Store(&leavingReports{})
 	return g
 }
 
@@ -151,7 +154,7 @@
 // Load implements vanillabarrow.Gate.
 func (g *Gate) Load(priority int) vanillabarrow.Load {
 	load := g.limiter.Load(priority)
-	load.Unavailable = load.Unavailable || g.refusesNew() || g.isUnavailable()
+	load.Unavailable = load.Unavailable || g.checkOpen() != nil || g.isUnavailable()
 	load.CallsShed = g.calls != nil && g.calls.MostlyShed(time.Now())
 	return load
 }
@@ -262,8 +265,8 @@
 	if err := g.checkTarget(attempt); err != nil {
 		return err
 	}
-	if g.refusesNew() {
-		return errDraining()
+	if err := g.checkOpen(); err != nil {
+		return err
 	}
 	if g.cfg.Snapshot() == nil {
 		return vanillabarrow.NotRun(vanillabarrow.ReasonNoConfig, "")
@@ -312,8 +315,8 @@
 	wait := g.waits.begin(ctx, attempt.ID)
 	defer func() { _ = wait.end() }()
 	// The gate may have closed before the wait began.
-	if g.refusesNew() {
-		return nil, errDraining()
+	if err := g.checkOpen(); err != nil {
+		return nil, err
 	}
 	turn, err := g.transfers.acquire(wait.ctx, attempt.Request, admission)
 	if err != nil {
--- a/internal/gate/pause.go
+++ b/internal/gate/pause.go
@@ -71,6 +71,8 @@
 	Fence          fence.Stats        `json:"fence"`
 	Keys           idempotency.Stats  `json:"keys"`
 	Draining       bool               `json:"draining"`
+	// TargetLeaving is set while health checks report that the target is leaving.
+	TargetLeaving bool `json:"targetLeaving"`
 }
 
 // targetName returns the target's name in the snapshot in force, or the configured
@@ -92,5 +94,6 @@
 		Fence:          g.fence.Stats(time.Now()),
 		Keys:           g.keys.Stats(),
 		Draining:       g.Draining(),
+		TargetLeaving:  g.isTargetLeaving(),
 	}
 }
--- a/internal/gate/plugin.go
+++ b/internal/gate/plugin.go
@@ -13,8 +13,13 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/hedge"
 	"github.com/vanillabarrow/vanillabarrow/internal/kernel"
 	"github.com/vanillabarrow/vanillabarrow/internal/membership"
+	"github.com/vanillabarrow/vanillabarrow/internal/settings"
 )
 
+// checkInterval is the maximum time between two health checks of a healthy target, 0
+// for none.
+type checkInterval time.Duration
+
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name: "gate",
@@ -29,6 +34,17 @@
 			}),
 		),
 	})
+	kernel.Register(kernel.Plugin{
+		Name:    "gate.inventory",
+		Profile: vanillabarrow.ProfileInventory,
+		Options: fx.Supply(checkInterval(0)),
+	})
+	kernel.Register(kernel.Plugin{
+		Name:    "gate.store",
+		Profile: vanillabarrow.ProfileStore,
+		// Half of the bound is left for the backoff and the check that confirms a report.
+		Options: fx.Provide(func(s settings.Settings) checkInterval { return checkInterval(s.Bounds.Drain / 2) }),
+	})
 }
 
 func provideGate(id *kernel.Identity, cfg vanillabarrow.Configuration, executor vanillabarrow.Executor, keyReleaser vanillabarrow.KeyReleaser, limiter vanillabarrow.Limiter, connectivity vanillabarrow.PlatformConnectivity, calls *dispatch.CallOutcomes, hedges *hedge.Running, scope tally.Scope, logger *slog.Logger) *Gate {
@@ -66,8 +82,8 @@
 	}))
 }
 
-func startProber(lc fx.Lifecycle, pool *kernel.Pool, g *Gate, checker HealthChecker, logger *slog.Logger) {
-	p := NewProber(g, checker, logger)
+func startProber(lc fx.Lifecycle, pool *kernel.Pool, g *Gate, checker HealthChecker, interval checkInterval, logger *slog.Logger) {
+	p := NewProber(g, checker, time.Duration(interval), logger)
 	lc.Append(fx.StartHook(func() {
 		pool.Every(func() time.Duration { return proberInterval }, true, "gate.prober", p.Tick)
 	}))
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -43,6 +43,8 @@
 	EventExpiredTargetNotServed  = "lapsed target given up"
 	EventHealthChecked           = "health learned"
 	EventHealthCheckFailed       = "health check failed"
+	EventOwnTargetLeaving        = "own target leaving"
+	EventOwnTargetServing        = "own target serving again"
 
 	EventConfigApplied          = "configuration applied"
 	EventTargetAdded            = "target added"
@@ -136,7 +138,9 @@
 		EventRouteUnthrottled:        {[]string{"route", "target"}, "requests on the route are no longer shed, after a response of the target"},
 		EventExpiredTargetServed:     {[]string{"target", "healthAge"}, "this node is disconnected from the platform and its own target responds to health checks, so the target is served although its registration expired"},
 		EventExpiredTargetNotServed:  {[]string{"target", "healthAge"}, "the platform responds to this node without listing the target, or the target no longer responds to health checks"},
-		EventHealthChecked:           {[]string{"target", "answeredBy", "ok", "warming"}, "the node's own target responded to a health check; warming is the remaining warm-up time"},
+		EventHealthChecked:           {[]string{"target", "answeredBy", "ok", "shed", "warming"}, "the node's own target responded to a health check; shed is set if it rejected the check because it is at capacity, warming is the remaining warm-up time; a response to a periodic check is logged only if it differs from the one before"},
+		EventOwnTargetLeaving:        {[]string{"target", "answeredBy", "checks", "healthAge"}, "this number of consecutive health checks reported that the node's own target is leaving or not healthy; the gate refuses new requests; healthAge is the time since the last successful check"},
+		EventOwnTargetServing:        {[]string{"target", "answeredBy", "ok", "for"}, "a health check ended the time for which the gate refused requests because the own target was leaving: the target is healthy, or another one responded at its address"},
 		EventHealthCheckFailed:       {[]string{"target", "failures", "error"}, "the node's own target did not respond to a health check, or with a malformed response"},
 
 		EventConfigApplied:          {[]string{"asOf", "age", "routes", "services", "targets"}, "the configuration compiled from these items is in force; age is the time since the platform last confirmed it"},
--- a/internal/trace/timeline.go
+++ b/internal/trace/timeline.go
@@ -57,6 +57,7 @@
 	logging.EventDataCentreBreakerOpened: true, logging.EventDataCentreBreakerClosed: true,
 	logging.EventRouteThrottled: true, logging.EventRouteUnthrottled: true,
 	logging.EventHealthChecked: true, logging.EventHealthCheckFailed: true,
+	logging.EventOwnTargetLeaving: true, logging.EventOwnTargetServing: true,
 	logging.EventConfigApplied: true, logging.EventTargetAdded: true, logging.EventTargetRemoved: true,
 	logging.EventTargetDraining: true, logging.EventTargetExpired: true, logging.EventExpiredTargetServed: true, logging.EventExpiredTargetNotServed: true,
 	logging.EventDataCentreOutOfService: true, logging.EventDataCentreInService: true,
--- a/verdict.go
+++ b/verdict.go
@@ -73,7 +73,7 @@
 	// bytes of the request were sent, or that the response was invalid.
 	ReasonTargetFailed Reason = "targetFailed"
 	// ReasonTargetOut means that the target is absent from the configuration, out
-	// of service, draining, or expired.
+	// of service, draining, or expired, or that it reports that it is leaving.
 	ReasonTargetOut Reason = "targetOut"
 	// ReasonDraining means that the node is shutting down.
 	ReasonDraining Reason = "draining"
