--- a/internal/gate/leaving_test.go
+++ b/internal/gate/leaving_test.go
@@ -269,3 +269,41 @@
 		})
 	}
 }
+
+// TestLeavingConcernsOneTarget guards against a target that is refused because the one
+// before it at its address was leaving, and against one that stays refused for want of
+// a check.
+func TestLeavingConcernsOneTarget(t *testing.T) {
+	tests := map[string]struct {
+		published string
+		refused   bool
+	}{
+		"same target":         {"old", true},
+		"new target":          {"new", false},
+		"no target published": {"", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, cfg := newGateAt(&fakeExecutor{status: 200})
+				require.False(t, g.needsHealthCheck(time.Now()))
+				for range leavingChecks {
+					g.recordHealth(vanillabarrow.Health{Target: "old"}, time.Now())
+					require.True(t, g.needsHealthCheck(time.Now()))
+				}
+				s := snapshotAt(tt.published)
+				if tt.published == "" {
+					s.Targets, s.ByAddress = nil, nil
+				}
+				cfg.snapshot.Store(s)
+				a := attempt(g, "a")
+				a.Target = &vanillabarrow.Target{Name: tt.published}
+				_, err := g.Handle(t.Context(), a)
+				require.Equal(t, tt.refused, err != nil)
+				require.Equal(t, tt.refused, g.Load(0).Unavailable)
+				cfg.snapshot.Store(snapshotAt("old"))
+				require.True(t, g.State().TargetLeaving, "until a check shows otherwise")
+			})
+		})
+	}
+}
--- a/internal/gate/replaced_test.go
+++ b/internal/gate/replaced_test.go
@@ -13,19 +13,34 @@
 	"github.com/vanillabarrow/vanillabarrow/internal/limit"
 )
 
+const address = "127.0.0.1:1"
+
+// snapshotAt returns a snapshot with one target at the address.
+func snapshotAt(name string) *vanillabarrow.Snapshot {
+	entry := &vanillabarrow.Target{Name: name, Address: address, Service: service, Slots: 1}
+	s := snapshot(false)
+	s.Targets = map[string]*vanillabarrow.Target{name: entry}
+	s.ByAddress = map[string]*vanillabarrow.Target{address: entry}
+	return s
+}
+
+// newGateAt returns a gate whose target is the one at the address, "old" at first.
+func newGateAt(e vanillabarrow.Executor) (*Gate, *staticConfig) {
+	cfg := &staticConfig{}
+	cfg.snapshot.Store(snapshotAt("old"))
+	g := New(Config{
+		OwnTarget: vanillabarrow.TargetRef{Address: address}, Incarnation: "one", Configuration: cfg, Executor: e,
+		Limiter: limit.NewAdaptive(1), Connectivity: connectivity(false), Scope: tally.NoopScope, Logger: slog.New(slog.DiscardHandler),
+	})
+	g.Configure(cfg.Snapshot(), nil, false)
+	return g, cfg
+}
+
 // TestReplacedTarget sends an attempt for a target by its published name after
 // a health check. If another target responded to the check, attempts for the
 // published one are refused without being sent, until the platform publishes
 // the new one.
 func TestReplacedTarget(t *testing.T) {
-	const address = "127.0.0.1:1"
-	snapshotWith := func(name string) *vanillabarrow.Snapshot {
-		entry := &vanillabarrow.Target{Name: name, Address: address, Service: service, Slots: 1}
-		s := snapshot(false)
-		s.Targets = map[string]*vanillabarrow.Target{name: entry}
-		s.ByAddress = map[string]*vanillabarrow.Target{address: entry}
-		return s
-	}
 	tests := map[string]struct {
 		answeredBy string
 		// published is the name of the published target after the check.
@@ -42,15 +57,9 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			e := &fakeExecutor{status: http.StatusOK}
-			cfg := &staticConfig{}
-			cfg.snapshot.Store(snapshotWith("old"))
-			g := New(Config{
-				OwnTarget: vanillabarrow.TargetRef{Address: address}, Incarnation: "one", Configuration: cfg, Executor: e,
-				Limiter: limit.NewAdaptive(1), Connectivity: connectivity(false), Scope: tally.NoopScope, Logger: slog.New(slog.DiscardHandler),
-			})
-			g.Configure(cfg.Snapshot(), nil, false)
+			g, cfg := newGateAt(e)
 			g.recordHealth(vanillabarrow.Health{OK: true, Target: tt.answeredBy}, time.Now())
-			cfg.snapshot.Store(snapshotWith(tt.published))
+			cfg.snapshot.Store(snapshotAt(tt.published))
 			g.Configure(cfg.Snapshot(), nil, false)
 			require.Equal(t, tt.needsCheck, g.needsHealthCheck(time.Now()))
 			a := attempt(g, "a")
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -148,11 +149,16 @@
 	peers, targets *buffer
 	// change changes the settings of each node. It may be nil.
 	change func(*settings.Settings)
+	// leaving is set while targets report at the path of their health checks that they leave.
+	leaving atomic.Bool
 	// release ends the requests that targets hold, those with holdPath in their path.
 	release chan struct{}
 }
 
-const holdPath = "/hold"
+const (
+	holdPath   = "/hold"
+	healthPath = "/health"
+)
 
 // startFleet starts nodes on loopback addresses and waits until they are ready.
 func startFleet(t *testing.T, tenants string, names ...string) *fleet {
@@ -210,6 +216,10 @@
 		w.Header().Set("X-Instance-Id", name)
 		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 		w.Header().Set("X-Response-Signature", "s")
+		if r.URL.Path == healthPath && f.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if strings.Contains(r.URL.Path, holdPath) {
 			select {
 			case <-f.release:
