Check each condition of the leaving target by a test

Breaking the conditions one by one left some without a failing test: reports about two targets that are added up, the refusals on arrival and at the wait for a slot, an interval that begins at the end of a check, the log line of a repeated response, and the interval that the settings give. The tests cover them now.

--- a/internal/gate/leaving.go
+++ b/internal/gate/leaving.go
@@ -26,7 +26,7 @@
 
 // add returns the reports with one more about the target.
 func (r leavingReports) add(target string, now time.Time) leavingReports {
-	if r.target != target || r.checks == 0 {
+	if r.target != target {
 		return leavingReports{target: target, checks: 1, since: now}
 	}
 	r.checks++
--- a/internal/gate/leaving_test.go
+++ b/internal/gate/leaving_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,7 +67,7 @@
 	scope := tally.NewTestScope("", nil)
 	out := &bytes.Buffer{}
 	g.scope, g.logger = scope, slog.New(slog.NewJSONHandler(out, nil))
-	return g, NewProber(g, checker, interval, slog.New(slog.DiscardHandler)), scope, out
+	return g, NewProber(g, checker, interval, g.logger), scope, out
 }
 
 // tickUntil calls Tick as the node does until done returns true.
@@ -151,6 +152,10 @@
 				late := handleAsync(t, g, "late")
 				if leaves {
 					requireLeavingRefusal(t, late)
+					// A report may arrive before or after the check on arrival.
+					require.ErrorContains(t, g.check(t.Context(), attempt(g, "early")), "leaving")
+					_, err := g.run(t.Context(), attempt(g, "checked"))
+					require.ErrorContains(t, err, "leaving")
 				}
 				require.EqualValues(t, 1, e.runs.Load(), "the slot is in use")
 				time.Sleep(2*e.delay + time.Second)
@@ -231,19 +236,21 @@
 }
 
 // TestCheckTimes guards against checks that are sent although others are sent anyway, that
-// are sent in the other profile, or that all nodes send at the same time.
+// are sent in the other profile, that slow responses delay, that all nodes send at the same
+// time, or that fill the log.
 func TestCheckTimes(t *testing.T) {
 	const duration = 20 * time.Second
 	tests := map[string]struct {
-		interval time.Duration
+		interval, took time.Duration
 		// expired is set if the gate needs checks for another reason.
 		expired     bool
 		least, most int
 	}{
-		"no interval":                        {0, false, 0, 0},
-		"interval":                           {halfDrain, false, 18, 21},
-		"no interval, other checks":          {0, true, 40, 41},
-		"interval, other checks sent anyway": {halfDrain, true, 40, 41},
+		"no interval":                        {0, 0, false, 0, 0},
+		"interval":                           {halfDrain, 0, false, 18, 21},
+		"interval, slow responses":           {halfDrain, 400 * time.Millisecond, false, 18, 21},
+		"no interval, other checks":          {0, 0, true, 40, 41},
+		"interval, other checks sent anyway": {halfDrain, 0, true, 40, 41},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -251,14 +258,21 @@
 				defer random.Seed(1)()
 				firsts := map[time.Duration]bool{}
 				for range 20 {
-					checker := &fakeChecker{start: time.Now(), result: func(time.Duration, int) checkResult { return serving }}
-					g, p, _, _ := newProbedGate(&fakeExecutor{}, checker, tt.interval)
+					checker := &fakeChecker{start: time.Now(), took: tt.took, result: func(time.Duration, int) checkResult { return serving }}
+					g, p, _, out := newProbedGate(&fakeExecutor{}, checker, tt.interval)
 					g.connectivity = connectivity(true)
 					g.cfg.Snapshot().Targets[target].Expired = tt.expired
 					tickUntil(t, p, func() bool { return time.Since(checker.start) > duration })
-					require.GreaterOrEqual(t, len(checker.times), tt.least)
-					require.LessOrEqual(t, len(checker.times), tt.most)
-					if len(checker.times) > 0 {
+					n := len(checker.times)
+					require.GreaterOrEqual(t, n, tt.least)
+					require.LessOrEqual(t, n, tt.most)
+					lines := strings.Count(out.String(), logging.EventHealthChecked)
+					if tt.expired {
+						require.GreaterOrEqual(t, lines, n-1, "only the first periodic check has no line")
+					} else {
+						require.Equal(t, min(1, n), lines, "the response stays the same")
+					}
+					if n > 0 {
 						firsts[checker.times[0]] = true
 					}
 				}
@@ -276,11 +290,15 @@
 func TestLeavingConcernsOneTarget(t *testing.T) {
 	tests := map[string]struct {
 		published string
-		refused   bool
+		// reports is the number of checks of the published target that report leaving.
+		reports int
+		refused bool
 	}{
-		"same target":         {"old", true},
-		"new target":          {"new", false},
-		"no target published": {"", true},
+		"same target":                   {"old", 0, true},
+		"new target":                    {"new", 0, false},
+		"new target with one report":    {"new", leavingChecks - 1, false},
+		"new target that leaves itself": {"new", leavingChecks, true},
+		"no target published":           {"", 0, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -296,13 +314,16 @@
 					s.Targets, s.ByAddress = nil, nil
 				}
 				cfg.snapshot.Store(s)
+				for range tt.reports {
+					g.recordHealth(vanillabarrow.Health{Target: tt.published}, time.Now())
+				}
 				a := attempt(g, "a")
 				a.Target = &vanillabarrow.Target{Name: tt.published}
 				_, err := g.Handle(t.Context(), a)
 				require.Equal(t, tt.refused, err != nil)
 				require.Equal(t, tt.refused, g.Load(0).Unavailable)
 				cfg.snapshot.Store(snapshotAt("old"))
-				require.True(t, g.State().TargetLeaving, "until a check shows otherwise")
+				require.Equal(t, tt.reports == 0, g.State().TargetLeaving, "until a check shows otherwise")
 			})
 		})
 	}
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -17,6 +18,8 @@
 		return code
 	}
 	require.Equal(t, http.StatusOK, status())
+	// From then on nothing but the interval calls for a check.
+	require.Eventually(t, func() bool { return strings.Contains(f.log.String(), "answeredBy=far ok=true") }, startTimeout, pollInterval)
 	f.leaving.Store(true)
 	require.Eventually(t, func() bool { return status() == http.StatusServiceUnavailable }, startTimeout, pollInterval)
 	f.targets.Reset()
