--- a/bounds.go
+++ b/bounds.go
@@ -8,8 +8,8 @@
 	// ConfigApply is the time from the platform's acknowledgement of a change until
 	// it is in force at every node that reaches the platform.
 	ConfigApply time.Duration `yaml:"configApply"`
-	// Drain is the time from the acknowledged removal of a target until it gets no
-	// more requests.
+	// Drain is the time from the acknowledged removal of a target, or from its first
+	// report that it is leaving, until it gets no more requests.
 	Drain time.Duration `yaml:"drain"`
 	// StabilityWindow is the time after a disruption of a node or its connections
 	// from which on the other bounds hold again.
