Back off from a full target that once reported that it is leaving

Cause: each check that was rejected after a first report reset the backoff, so that a full target was sent checks at the shortest delay. Now only the report itself resets it. TestRejectedChecksBackOff fails without the change.

--- a/internal/gate/leaving_test.go
+++ b/internal/gate/leaving_test.go
@@ -284,6 +284,20 @@
 	}
 }
 
+// TestRejectedChecksBackOff guards against a target at capacity that gets checks at the
+// shortest delay for as long as it rejects them, because it reported once that it leaves.
+func TestRejectedChecksBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer random.Seed(1)()
+		checker := &fakeChecker{start: time.Now(), result: func(_ time.Duration, n int) checkResult {
+			return []checkResult{notServing, rejected}[min(n, 1)]
+		}}
+		_, p, _, _ := newProbedGate(&fakeExecutor{}, checker, halfDrain)
+		tickUntil(t, p, func() bool { return time.Since(checker.start) > time.Minute })
+		require.LessOrEqual(t, len(checker.times), 120, "half a second apart on average")
+	})
+}
+
 // TestLeavingConcernsOneTarget guards against a target that is refused because the one
 // before it at its address was leaving, and against one that stays refused for want of
 // a check.
--- a/internal/gate/prober.go
+++ b/internal/gate/prober.go
@@ -92,7 +92,7 @@
 // at start.
 func (p *Prober) schedule(start time.Time, health vanillabarrow.Health) {
 	if !health.OK {
-		if p.gate.leavingReports.Load().checks == 1 {
+		if !health.Shed && p.gate.leavingReports.Load().checks == 1 {
 			// Earlier failures must not delay the check that confirms the report.
 			p.failures = 0
 		}
