Use a free port for all peer listeners of test nodes

TestStopRefusesQueuedRequests failed once with 'bind: address already in use': the peer listeners of a test fleet share the port that the first one got from the ephemeral range, which another socket on the second address may hold. The port now comes from below that range and is free on all addresses.

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -176,12 +176,16 @@
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	f.configure(tenants, names...)
-	port := 0
+	ips := make([]string, len(names))
+	for i := range names {
+		ips[i] = fmt.Sprintf("127.0.0.%d", i+21)
+	}
+	port := freePeerPort(t, ips)
 	for i, name := range names {
-		ip := fmt.Sprintf("127.0.0.%d", i+21)
+		ip := ips[i]
 		f.store.put("servers/"+name, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","max_concurrency":4,"state":"ready","warmup_remaining":"0ms","sequence":1}`,
 			name, f.startTarget(t, ip, name)))
-		port = f.startNode(t, name, ip, port, server.URL)
+		f.startNode(t, name, ip, port, server.URL)
 	}
 	for _, n := range f.nodes {
 		require.Eventually(t, func() bool { s := n.Status(); return s.Ready && !s.OutOfService }, startTimeout, pollInterval)
@@ -236,9 +240,28 @@
 	return l.Addr().String()
 }
 
-// startNode starts a node and returns the port of its peer listener, which is the same
-// for all nodes.
-func (f *fleet) startNode(t *testing.T, name, ip string, port int, storeURL string) int {
+// freePeerPort returns a port that is free on all addresses, since the port of peer
+// listeners is the same for all nodes. It is below the ephemeral ports, so that no other
+// socket takes it meanwhile.
+func freePeerPort(t *testing.T, ips []string) int {
+	const first, last = 22000, 22999
+next:
+	for port := first; port <= last; port++ {
+		for _, ip := range ips {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+			if err != nil {
+				continue next
+			}
+			_ = l.Close()
+		}
+		return port
+	}
+	require.Fail(t, "no free port")
+	return 0
+}
+
+// startNode starts a node.
+func (f *fleet) startNode(t *testing.T, name, ip string, port int, storeURL string) {
 	s := settings.Default()
 	s.Profile = vanillabarrow.ProfileStore
 	s.Balancer, s.Limiter = vanillabarrow.BalancerCheapest, vanillabarrow.LimiterOrdered
@@ -256,7 +279,6 @@
 	s.Listen = settings.Listen{Caller: ip + ":0", Peer: fmt.Sprintf("%s:%d", ip, port), Operator: ip + ":0", Ready: ip + ":0"}
 	listeners, err := node.Listen(s)
 	require.NoError(t, err)
-	address := listeners.Peer.Addr().(*net.TCPAddr)
 	listeners.Peer = recordingListener{listeners.Peer, f.peers}
 	f.callers[name], f.operators[name] = "http://"+listeners.Caller.Addr().String(), "http://"+listeners.Operator.Addr().String()
 	logger := slog.New(slog.NewTextHandler(f.log, &slog.HandlerOptions{Level: slog.LevelDebug}))
@@ -265,7 +287,6 @@
 	require.NoError(t, n.Start(t.Context()))
 	t.Cleanup(func() { _ = n.Stop(context.Background()) })
 	f.nodes[name] = n
-	return address.Port
 }
 
 // call sends a request through a node and returns the status and the body.
