Keep a stopped target out of use when the store stops responding

A gate serves a target whose registration expired while the node is disconnected from the store and the target is healthy. Once the store has responded to the node after the removal, the target stays out of use until it is registered again.

TestStoppedTargetStaysOutDuringOutage is new; its case 'removed before the outage' fails without the change.

--- a/interfaces.go
+++ b/interfaces.go
@@ -10,6 +10,9 @@
 	// IsDisconnected reports whether this node gets no responses from the
 	// platform, while other nodes may still get some.
 	IsDisconnected(now time.Time) bool
+	// LastResponse returns when the platform last responded to a call of this node,
+	// zero for never.
+	LastResponse() time.Time
 }
 
 // Source reads published values from the platform. An error says nothing about
--- a/internal/discovery/connectivity.go
+++ b/internal/discovery/connectivity.go
@@ -25,6 +25,8 @@
 	// reconnectedAt is when the platform last responded after it had not
 	// responded for disconnectedAfter.
 	reconnectedAt atomic.Int64
+	// respondedAt is when the platform last responded.
+	respondedAt atomic.Int64
 }
 
 func (c *connectivity) offset(now time.Time) int64 { return 1 + max(0, int64(now.Sub(c.startedAt))) }
@@ -37,6 +39,7 @@
 
 // recordSuccess notes that the platform responded.
 func (c *connectivity) recordSuccess(now time.Time) {
+	c.respondedAt.Store(c.offset(now))
 	since := c.failingSince.Swap(0)
 	if since > 0 && c.offset(now)-since >= int64(disconnectedAfter) {
 		c.reconnectedAt.Store(c.offset(now))
@@ -60,6 +63,18 @@
 // IsDisconnected implements vanillabarrow.PlatformConnectivity.
 func (f *Follower) IsDisconnected(now time.Time) bool { return f.connectivity.isDisconnected(now) }
 
+// lastResponse returns when the platform last responded, zero for never.
+func (c *connectivity) lastResponse() time.Time {
+	at := c.respondedAt.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return c.startedAt.Add(time.Duration(at - 1))
+}
+
+// LastResponse implements vanillabarrow.PlatformConnectivity.
+func (f *Follower) LastResponse() time.Time { return f.connectivity.lastResponse() }
+
 // isOwnTargetExpired reports whether the platform removed the entry of this
 // node's target.
 func (f *Follower) isOwnTargetExpired() bool {
--- a/internal/gate/expired.go
+++ b/internal/gate/expired.go
@@ -16,12 +16,14 @@
 // it. If this node does not reach the platform either, the likely cause is that
 // the entire VM is partitioned from it, so the target is served as long as it
 // is healthy; a target that shuts down reports so in its health checks. If the
-// platform responds to this node, the target counts as stopped.
+// platform responds to this node, the target counts as stopped, and stays so if the
+// platform does not respond later.
 func (g *Gate) isServable(target *vanillabarrow.Target, now time.Time) bool {
-	if !target.Expired {
+	expiry := g.updateExpiry(target, now)
+	if expiry == nil {
 		return true
 	}
-	served := g.connectivity.IsDisconnected(now) && g.healthAge(now) < healthValidity
+	served := !expiry.stopped && g.connectivity.IsDisconnected(now) && g.healthAge(now) < healthValidity
 	if g.servesExpired.Swap(served) != served {
 		event := logging.EventExpiredTargetNotServed
 		if served {
@@ -32,6 +34,39 @@
 	return served
 }
 
+// expiry is what is known of the expired registration of the own target. It is replaced as
+// a whole.
+type expiry struct {
+	target string
+	// since is when the gate noticed that the registration has expired.
+	since time.Time
+	// stopped is set once the platform has responded to this node since then.
+	stopped bool
+}
+
+// updateExpiry returns what is known of the expired registration of a target, nil if it
+// has not expired.
+func (g *Gate) updateExpiry(target *vanillabarrow.Target, now time.Time) *expiry {
+	known := g.expiry.Load()
+	switch {
+	case !target.Expired:
+		if known != nil {
+			g.expiry.CompareAndSwap(known, nil)
+		}
+		return nil
+	case known == nil || known.target != target.Name:
+		next := &expiry{target: target.Name, since: now}
+		g.expiry.CompareAndSwap(known, next)
+		return next
+	case !known.stopped && !g.connectivity.IsDisconnected(now) && g.connectivity.LastResponse().After(known.since):
+		next := &expiry{target: known.target, since: known.since, stopped: true}
+		g.expiry.CompareAndSwap(known, next)
+		return next
+	default:
+		return known
+	}
+}
+
 // healthAge returns the time since the target's last successful health check.
 func (g *Gate) healthAge(now time.Time) time.Duration {
 	return now.Sub(g.start) - time.Duration(g.lastHealthy.Load())
@@ -70,5 +105,6 @@
 	if target == nil {
 		return false
 	}
+	g.updateExpiry(target, now)
 	return target.Expired && g.connectivity.IsDisconnected(now) || g.isReplaced(target) || g.leavingReports.Load().checks > 0
 }
--- a/internal/gate/expired_test.go
+++ b/internal/gate/expired_test.go
@@ -18,6 +18,67 @@
 
 func (c connectivity) IsDisconnected(time.Time) bool { return bool(c) }
 
+func (c connectivity) LastResponse() time.Time { return time.Time{} }
+
+// changingConnectivity is the connectivity of a node whose platform responds at times.
+type changingConnectivity struct {
+	disconnected bool
+	lastResponse time.Time
+}
+
+func (c *changingConnectivity) IsDisconnected(time.Time) bool { return c.disconnected }
+
+func (c *changingConnectivity) LastResponse() time.Time { return c.lastResponse }
+
+// TestStoppedTargetStaysOutDuringOutage guards against a target that had left before the
+// platform stopped responding, and is served because it still reports that it is healthy.
+func TestStoppedTargetStaysOutDuringOutage(t *testing.T) {
+	tests := map[string]struct {
+		// responds is set if the platform responds between the removal and the outage.
+		responds, registeredAgain bool
+		served                    bool
+	}{
+		"removed during the outage":              {served: true},
+		"removed before the outage":              {responds: true},
+		"removed before, registered and removed": {responds: true, registeredAgain: true, served: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cfg, platform := &staticConfig{}, &changingConnectivity{lastResponse: time.Now()}
+				publish := func(expired bool) {
+					s := snapshot(false)
+					s.Targets[target].Expired = expired
+					cfg.snapshot.Store(s)
+				}
+				publish(false)
+				g := New(Config{
+					OwnTarget: vanillabarrow.TargetRef{Name: target}, Incarnation: "one", Configuration: cfg, Executor: &fakeExecutor{status: 200},
+					Limiter: limit.NewAdaptive(1), Connectivity: platform, Scope: tally.NoopScope, Logger: slog.New(slog.DiscardHandler),
+				})
+				tick := func() { time.Sleep(proberInterval); g.needsHealthCheck(time.Now()) }
+				tick()
+				publish(true)
+				tick()
+				if tt.responds {
+					platform.lastResponse = time.Now()
+				}
+				tick()
+				if tt.registeredAgain {
+					publish(false)
+					tick()
+					publish(true)
+				}
+				platform.disconnected = true
+				tick()
+				g.recordHealth(vanillabarrow.Health{OK: true, Target: target}, time.Now())
+				_, err := g.Handle(t.Context(), attempt(g, "a"))
+				require.Equal(t, tt.served, err == nil)
+			})
+		})
+	}
+}
+
 // TestExpiredTarget checks when the gate serves a target whose registration has
 // expired at the platform.
 func TestExpiredTarget(t *testing.T) {
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -281,3 +281,7 @@
 // false: targets of an inventory stay until operators change it, so none
 // expires while the platform does not respond.
 func (f *Follower) IsDisconnected(time.Time) bool { return false }
+
+// LastResponse implements vanillabarrow.PlatformConnectivity. The inventory has no
+// registrations that expire, so that nothing depends on it.
+func (f *Follower) LastResponse() time.Time { return time.Time{} }
