Leave patches of nodes that know no eras undecoded

A delta of a node of the former build names the bases of its patches by revisions without an era, which a node that knows an era can't resolve: each stream with a large value would end with an error. Its items change nothing there, so they are left out. After a change of era such a node gets complete lists. Found by reading; no test of its own (TestMixedBuilds sends no patches).

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -225,7 +225,7 @@
 	}
 	f.addTransit(d, &transitClock{}, address)
 	size := d.Size()
-	if err := decompress(d, held); err != nil {
+	if err := f.decode(d, held); err != nil {
 		return err
 	}
 	f.Logger.Info(logging.EventItemsPulled, "peer", address, "cause", cause, "asOf", d.AsOf, "items", len(d.Items),
@@ -246,6 +246,17 @@
 	}
 }
 
+// decode restores the values of a delta from patches. The items of a node that knows no
+// eras are left out if this node knows one, since they change nothing: their bases are not
+// named in a way that this node can resolve.
+func (f *Follower) decode(d *vanillabarrow.Delta, held heldValues) error {
+	if d.WithoutEra && f.Table.AsOf().Era() != 0 {
+		d.Items = nil
+		return nil
+	}
+	return decompress(d, held)
+}
+
 func (f *Follower) merge(d *vanillabarrow.Delta, from string) {
 	result := f.Table.Merge(d, time.Now())
 	if result.Changed {
--- a/internal/discovery/parent.go
+++ b/internal/discovery/parent.go
@@ -118,7 +118,7 @@
 	clock := &transitClock{}
 	err = f.Relay.Follow(ctx, address, request, func(d *vanillabarrow.Delta) error {
 		f.addTransit(d, clock, address)
-		if err := decompress(d, held); err != nil {
+		if err := f.decode(d, held); err != nil {
 			return err
 		}
 		if request.AnnounceOnly {
--- a/internal/discovery/restore.go
+++ b/internal/discovery/restore.go
@@ -114,10 +114,16 @@
 	return MergeResult{MayHaveNews: version > t.asOf}
 }
 
-// inEra returns the request of a node that knows no eras with its revisions in an era.
-func inEra(r vanillabarrow.ItemRequest, era vanillabarrow.Era) vanillabarrow.ItemRequest {
-	if r.AsOf > 0 {
-		r.AsOf = vanillabarrow.NewVersion(era, r.AsOf.Revision())
+// resolveRequest returns the request of a node that knows no eras with its revision in the
+// era of this table. After a change of era it is not known which one is meant, so that all
+// items are sent.
+func (t *Table) resolveRequest(r vanillabarrow.ItemRequest) vanillabarrow.ItemRequest {
+	switch {
+	case !r.WithoutEras:
+	case !t.eraChangedAt.IsZero():
+		r.CompleteLists = true
+	case r.AsOf > 0:
+		r.AsOf = vanillabarrow.NewVersion(t.asOf.Era(), r.AsOf.Revision())
 	}
 	return r
 }
--- a/internal/discovery/since.go
+++ b/internal/discovery/since.go
@@ -15,9 +15,7 @@
 func (t *Table) Since(r vanillabarrow.ItemRequest, now time.Time) *vanillabarrow.Delta {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.WithoutEras && t.eraChangedAt.IsZero() {
-		r = inEra(r, t.asOf.Era())
-	}
+	r = t.resolveRequest(r)
 	byCursor := r.Cursor.Incarnation == t.incarnation
 	isHeld, full, fullAfter := t.holdings(r)
 	if r.CompleteLists {
