Note a removal while the store responds, before it expires

A gate noticed a removal when the registration had expired, 0.8 s after it was learned, so that a target that left less than a second before an outage still counted as one whose VM is disconnected. Targets now carry the time of their removal. The node beside one calls the store at once, and a response, also to a probe, that comes after the removal shows that the target stopped.

--- a/config.go
+++ b/config.go
@@ -102,6 +102,10 @@
 	// can't renew its registration but keeps running; only the gate on the same
 	// VM knows.
 	Expired bool `json:"lapsed,omitempty" yaml:"-"`
+	// RemovedAt is when the first node learned that the target's registration was removed,
+	// zero while it is registered. The target stays in use for a moment, because it may be
+	// about to register again, and is expired then.
+	RemovedAt time.Time `json:"removedAt,omitzero" yaml:"-"`
 	// ColdUntil is the end of the warm-up that the target last announced.
 	ColdUntil time.Time `json:"coldUntil,omitzero" yaml:"-"`
 	// Created is the revision at which the target was registered. Of two targets
--- a/internal/discovery/connectivity.go
+++ b/internal/discovery/connectivity.go
@@ -39,13 +39,16 @@
 
 // recordSuccess notes that the platform responded.
 func (c *connectivity) recordSuccess(now time.Time) {
-	c.respondedAt.Store(c.offset(now))
+	c.recordResponse(now)
 	since := c.failingSince.Swap(0)
 	if since > 0 && c.offset(now)-since >= int64(disconnectedAfter) {
 		c.reconnectedAt.Store(c.offset(now))
 	}
 }
 
+// recordResponse notes that the platform responded to a probe, or to another call.
+func (c *connectivity) recordResponse(now time.Time) { c.respondedAt.Store(c.offset(now)) }
+
 // forget notes that the node makes no more calls, so that it does not know whether the
 // platform responds.
 func (c *connectivity) forget() { c.failingSince.Store(0) }
@@ -75,9 +78,9 @@
 // LastResponse implements vanillabarrow.PlatformConnectivity.
 func (f *Follower) LastResponse() time.Time { return f.connectivity.lastResponse() }
 
-// isOwnTargetExpired reports whether the platform removed the entry of this
-// node's target.
-func (f *Follower) isOwnTargetExpired() bool {
+// isOwnTargetRemoved reports whether the platform removed the entry of this node's
+// target.
+func (f *Follower) isOwnTargetRemoved() bool {
 	target := f.OwnTarget.Resolve(f.snapshot.Load())
-	return target != nil && target.Expired
+	return target != nil && !target.RemovedAt.IsZero()
 }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -307,6 +307,11 @@
 	}
 	logApplied(f.Logger, f.snapshot.Load(), snapshot, now.Sub(f.Table.ConfirmedAt()), now)
 	f.snapshot.Store(snapshot)
+	if f.isOwnTargetRemoved() {
+		// Whether the platform responds shows whether the target left or this VM is
+		// disconnected. The answer has to come before the platform may be lost.
+		f.requestRead()
+	}
 	f.Members.Update(nil, snapshot)
 	f.readLimiter.UpdateShare(f.Members.View(), f.FleetSize)
 	next := make(chan struct{})
--- a/internal/discovery/probe.go
+++ b/internal/discovery/probe.go
@@ -81,6 +81,7 @@
 		w.abandon(fmt.Errorf("%w: %w", errProbeFailed, err))
 		return
 	}
+	f.connectivity.recordResponse(time.Now())
 	f.probedAt.Store(time.Since(f.startedAt).Nanoseconds())
 	switch {
 	case version == w.after:
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -60,7 +60,7 @@
 			if !reading {
 				f.connectivity.forget()
 			}
-			if reading && f.isOwnTargetExpired() {
+			if reading && f.isOwnTargetRemoved() {
 				// A listing returns without delay; a watch waits for
 				// the next change.
 				s.after = 0
@@ -104,7 +104,7 @@
 	}
 	// Only the platform shows whether the own target's entry expired because
 	// this VM was disconnected from it.
-	return stale || now.Before(s.standbyUntil) || f.isOwnTargetExpired()
+	return stale || now.Before(s.standbyUntil) || f.isOwnTargetRemoved()
 }
 
 // readsAt returns when a node that is not a reader calls the platform because it
--- a/internal/gate/expired.go
+++ b/internal/gate/expired.go
@@ -19,11 +19,10 @@
 // platform responds to this node, the target counts as stopped, and stays so if the
 // platform does not respond later.
 func (g *Gate) isServable(target *vanillabarrow.Target, now time.Time) bool {
-	expiry := g.updateExpiry(target, now)
-	if expiry == nil {
+	if !target.Expired {
 		return true
 	}
-	served := !expiry.stopped && g.connectivity.IsDisconnected(now) && g.healthAge(now) < healthValidity
+	served := !g.isStopped(target, now) && g.connectivity.IsDisconnected(now) && g.healthAge(now) < healthValidity
 	if g.servesExpired.Swap(served) != served {
 		event := logging.EventExpiredTargetNotServed
 		if served {
@@ -34,37 +33,25 @@
 	return served
 }
 
-// expiry is what is known of the expired registration of the own target. It is replaced as
-// a whole.
-type expiry struct {
-	target string
-	// since is when the gate noticed that the registration has expired.
-	since time.Time
-	// stopped is set once the platform has responded to this node since then.
-	stopped bool
+// stoppedTarget names a target whose registration was removed, and that counts as stopped
+// since the platform responded to this node after that.
+type stoppedTarget struct {
+	name      string
+	removedAt time.Time
 }
 
-// updateExpiry returns what is known of the expired registration of a target, nil if it
-// has not expired.
-func (g *Gate) updateExpiry(target *vanillabarrow.Target, now time.Time) *expiry {
-	known := g.expiry.Load()
-	switch {
-	case !target.Expired:
-		if known != nil {
-			g.expiry.CompareAndSwap(known, nil)
-		}
-		return nil
-	case known == nil || known.target != target.Name:
-		next := &expiry{target: target.Name, since: now}
-		g.expiry.CompareAndSwap(known, next)
-		return next
-	case !known.stopped && !g.connectivity.IsDisconnected(now) && g.connectivity.LastResponse().After(known.since):
-		next := &expiry{target: known.target, since: known.since, stopped: true}
-		g.expiry.CompareAndSwap(known, next)
-		return next
-	default:
-		return known
+// isStopped reports whether a target counts as stopped. It has to be called while the
+// platform responds, since what it finds then holds when the platform does not respond.
+func (g *Gate) isStopped(target *vanillabarrow.Target, now time.Time) bool {
+	this := stoppedTarget{target.Name, target.RemovedAt}
+	if known := g.stopped.Load(); known != nil && *known == this {
+		return true
+	}
+	if target.RemovedAt.IsZero() || g.connectivity.IsDisconnected(now) || !g.connectivity.LastResponse().After(target.RemovedAt) {
+		return false
 	}
+	g.stopped.Store(&this)
+	return true
 }
 
 // healthAge returns the time since the target's last successful health check.
@@ -105,6 +92,7 @@
 	if target == nil {
 		return false
 	}
-	g.updateExpiry(target, now)
-	return target.Expired && g.connectivity.IsDisconnected(now) || g.isReplaced(target) || g.leavingReports.Load().checks > 0
+	// A removal has to be noted before the registration expires.
+	stopped := g.isStopped(target, now)
+	return target.Expired && !stopped && g.connectivity.IsDisconnected(now) || g.isReplaced(target) || g.leavingReports.Load().checks > 0
 }
--- a/internal/gate/expired_test.go
+++ b/internal/gate/expired_test.go
@@ -46,30 +46,32 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				cfg, platform := &staticConfig{}, &changingConnectivity{lastResponse: time.Now()}
-				publish := func(expired bool) {
+				publish := func(removedAt time.Time, expired bool) {
 					s := snapshot(false)
-					s.Targets[target].Expired = expired
+					s.Targets[target].RemovedAt, s.Targets[target].Expired = removedAt, expired
 					cfg.snapshot.Store(s)
 				}
-				publish(false)
+				publish(time.Time{}, false)
 				g := New(Config{
 					OwnTarget: vanillabarrow.TargetRef{Name: target}, Incarnation: "one", Configuration: cfg, Executor: &fakeExecutor{status: 200},
 					Limiter: limit.NewAdaptive(1), Connectivity: platform, Scope: tally.NoopScope, Logger: slog.New(slog.DiscardHandler),
 				})
 				tick := func() { time.Sleep(proberInterval); g.needsHealthCheck(time.Now()) }
 				tick()
-				publish(true)
+				removedAt := time.Now()
+				publish(removedAt, false)
 				tick()
 				if tt.responds {
 					platform.lastResponse = time.Now()
 				}
 				tick()
 				if tt.registeredAgain {
-					publish(false)
+					publish(time.Time{}, false)
 					tick()
-					publish(true)
+					removedAt = time.Now()
 				}
 				platform.disconnected = true
+				publish(removedAt, true)
 				tick()
 				g.recordHealth(vanillabarrow.Health{OK: true, Target: target}, time.Now())
 				_, err := g.Handle(t.Context(), attempt(g, "a"))
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -52,7 +52,7 @@
 	// nanoseconds since the start.
 	lastHealthy   atomic.Int64
 	servesExpired atomic.Bool
-	expiry        atomic.Pointer[expiry]
+	stopped       atomic.Pointer[stoppedTarget]
 	lastResponder atomic.Pointer[healthResponder]
 	// leavingReports is set by the prober and never nil.
 	leavingReports atomic.Pointer[leavingReports]
