Take a lost item that is written again for one that is back

An item that a copy lacked, and whose key was then written with an older value after the grace period, or restored with one from another copy, was kept as if its writer had removed it. When the writer repeated its own write, the item stayed out of effect, for up to five minutes. A kept tombstone now stays marked as lost, and what was lost is compared as its writer left it.

--- a/internal/discovery/restore.go
+++ b/internal/discovery/restore.go
@@ -52,30 +52,37 @@
 	if e == nil {
 		return nil
 	}
-	if e.kept != nil && !t.order.Supersedes(newer, *e.kept) {
+	if e.kept != nil && !t.order.Supersedes(newer, asWritten(*e.kept)) {
 		return e.kept
 	}
 	if e.item.Revision.Era() == newer.Revision.Era() && !e.item.Lost {
 		return nil
 	}
 	older := e.item
-	if older.Lost {
-		// An item that the copy lacked was not removed by its writer.
-		older.Removed, older.Lost = false, false
-	}
-	if t.order.Supersedes(newer, older) {
+	if t.order.Supersedes(newer, asWritten(older)) {
 		return nil
 	}
-	older.Removed = e.item.Removed && (!e.item.Lost || !now.Before(e.item.KeepUntil))
+	if now.Before(older.KeepUntil) {
+		older = asWritten(older)
+	}
 	older.Kept = true
 	return &older
 }
 
+// asWritten returns an item as its writer left it: one that a copy lacked was not
+// removed by its writer.
+func asWritten(item vanillabarrow.Item) vanillabarrow.Item {
+	if item.Lost {
+		item.Removed, item.Lost = false, false
+	}
+	return item
+}
+
 // putKept stores an item that another node keeps in effect, unless this node holds one
 // that was written later.
 func (t *Table) putKept(item vanillabarrow.Item) {
 	e, ok := t.entries[item.Key]
-	if !ok || item.Revision >= e.item.Revision || t.order.Supersedes(e.item, item) {
+	if !ok || item.Revision >= e.item.Revision || t.order.Supersedes(e.item, asWritten(item)) {
 		return
 	}
 	if e.kept != nil && !t.isLaterKept(item, *e.kept) {
@@ -90,7 +97,7 @@
 	if item.Revision.Era() == kept.Revision.Era() {
 		return item.Revision > kept.Revision
 	}
-	return t.order.Supersedes(item, kept)
+	return t.order.Supersedes(asWritten(item), asWritten(kept))
 }
 
 // purgeKept drops tombstones that are kept for longer than tombstoneRetention.
