Keep what a table knows of an item against tombstones of others

The property test of restores found these faults in how tables exchange tombstones and kept items; each made the test fail before its fix:

- A removal gave an item kept against the copy the value of the copy for its grace period, so that a draining target was ready again for 0.8 s, and the next restore took a copy between the two values for newer.
- The tombstone of a node that had missed writes replaced a later value by an earlier one, for 0.8 s or for 2.2 s if it was marked as lost.
- A tombstone from another node, received later or marked as lost, brought an item back into effect that was removed here.
- A kept tombstone of an earlier era replaced a kept item of a later one.
After two restores a target that was written between them was out of effect at each node that received the tombstone, until it was written anew.
- A kept item whose loss was noticed late replaced a later one of the same era, because its revision is that of the copy.

TestRestoredTables plays writes, copies, restores with and without an era, listings, watches, deltas, late deltas, streams and restarts on three tables.

--- a/internal/discovery/restore.go
+++ b/internal/discovery/restore.go
@@ -78,6 +78,28 @@
 	return item
 }
 
+// withKnown returns a tombstone with what this table knows of the removed item beyond the
+// node that sent it, which may have missed later writes. A tombstone that is no longer in
+// effect does not come back into effect.
+func (t *Table) withKnown(tombstone, known vanillabarrow.Item) vanillabarrow.Item {
+	if known.Removed {
+		tombstone.KeepUntil = earlier(tombstone.KeepUntil, known.KeepUntil)
+	}
+	isWritten := known.Revision.Era() == tombstone.Revision.Era()
+	if tombstone.Value == nil || !t.order.Supersedes(withoutRemoval(tombstone), withoutRemoval(known)) {
+		tombstone.Value, tombstone.Created = known.Value, known.Created
+		isWritten = isWritten || known.Removed
+	}
+	tombstone.Lost = tombstone.Lost && (known.Lost || !isWritten)
+	return tombstone
+}
+
+// withoutRemoval returns an item as its writer wrote it last.
+func withoutRemoval(item vanillabarrow.Item) vanillabarrow.Item {
+	item.Removed = false
+	return item
+}
+
 // putKept stores an item that another node keeps in effect, unless this node holds one
 // that was written later.
 func (t *Table) putKept(item vanillabarrow.Item) {
@@ -88,16 +110,20 @@
 	if e.kept != nil && !t.isLaterKept(item, *e.kept) {
 		return
 	}
+	if item.Removed {
+		item = t.withKnown(item, e.inEffect())
+	}
 	t.sequence++
 	e.kept, e.sequence = &item, t.sequence
 }
 
-// isLaterKept reports whether an item was written after another one that is kept.
+// isLaterKept reports whether an item was written after another one that is kept. The
+// revision of one that a copy lacked is that of the copy.
 func (t *Table) isLaterKept(item, kept vanillabarrow.Item) bool {
-	if item.Revision.Era() == kept.Revision.Era() {
-		return item.Revision > kept.Revision
+	if item.Revision.Era() < kept.Revision.Era() {
+		return !t.order.Supersedes(asWritten(kept), asWritten(item))
 	}
-	return t.order.Supersedes(asWritten(item), asWritten(kept))
+	return item.Revision > kept.Revision && t.order.Supersedes(asWritten(item), asWritten(kept))
 }
 
 // purgeKept drops tombstones that are kept for longer than tombstoneRetention.
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -174,20 +174,15 @@
 	return item.Revision > t.asOf || d.Full && d.AsOf >= t.asOf
 }
 
-// putIfNewer stores an item if its revision is newer than the table's. A
-// removed item that comes without a value keeps the last known one.
+// putIfNewer stores an item if its revision is newer than the table's. A tombstone keeps
+// what the table knows of the removed item.
 func (t *Table) putIfNewer(item vanillabarrow.Item, now time.Time) {
 	old, ok := t.entries[item.Key]
 	if ok && old.item.Revision >= item.Revision {
 		return
 	}
-	if item.Removed && item.Value == nil && ok {
-		last := old.inEffect()
-		item.Value, item.Created = last.Value, last.Created
-		if last.Removed {
-			// The copy of an item that was removed before does not come into effect.
-			item.KeepUntil = last.KeepUntil
-		}
+	if item.Removed && ok {
+		item = t.withKnown(item, old.inEffect())
 	}
 	if item.FirstSeenAt.IsZero() {
 		item.FirstSeenAt = now
@@ -212,11 +207,8 @@
 		if listed[key] || e.item.Removed || e.item.Revision > d.AsOf || e.item.Revision <= d.FullAfter {
 			continue
 		}
-		tombstone := e.inEffect()
-		if !tombstone.Removed {
-			tombstone.KeepUntil = until
-		}
-		tombstone.Removed, tombstone.Kept, tombstone.Revision, tombstone.FirstSeenAt = true, false, d.AsOf, now
+		tombstone := vanillabarrow.Item{Key: key, Revision: d.AsOf, Removed: true, KeepUntil: until, FirstSeenAt: now}
+		tombstone = t.withKnown(tombstone, e.inEffect())
 		t.put(tombstone, nil, e)
 	}
 }
