Take no removal for a loss that another node reports

A node that knew a removal took it for a loss when a node that had missed it sent its tombstone after a restore, so that the next copy brought the item back. TestRemovalKnownToOneNode failed before with the same value.

--- a/internal/discovery/kept_test.go
+++ b/internal/discovery/kept_test.go
@@ -139,3 +139,37 @@
 		}
 	}
 }
+
+// TestRemovalKnownToOneNode guards against a removal that is taken for a loss because
+// another node missed it, so that the next copy brings the item back.
+func TestRemovalKnownToOneNode(t *testing.T) {
+	tests := map[string]struct {
+		// missed and seen are played before and after the other node stops reading.
+		seen, missed string
+	}{
+		"the same value":  {"copy 7", "remove"},
+		"an older value":  {"copy 5", "7 remove"},
+		"an earlier life": {"copy 5 remove 6", "7 remove"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			subject, other := NewTable("subject", valueOrder{}), NewTable("other", valueOrder{})
+			p := &restoreScript{t: t, store: &fakeStore{values: map[string]string{}, stated: 1}, now: time.Now()}
+			p.store.write("unrelated", false)
+			p.deliver = func(p *restoreScript) { p.read(subject); p.read(other) }
+			p.run(tt.seen)
+			p.deliver = func(p *restoreScript) { p.read(subject) }
+			p.run(tt.missed)
+			older, withItem := p.copy, p.store.backup()
+			withItem.values["key"] = string(subject.entries["key"].item.Value)
+			withItem.log = append(withItem.log, item("key", withItem.values["key"], withItem.revision))
+			for _, c := range []fakeStore{older, withItem} {
+				p.store.restore(c)
+				p.read(other)
+				p.pull(subject, other)
+				require.NotContains(t, effective(subject, p.now), "key")
+				p.now = p.now.Add(outageGracePeriod)
+			}
+		})
+	}
+}
--- a/internal/discovery/restore.go
+++ b/internal/discovery/restore.go
@@ -85,12 +85,13 @@
 	if known.Removed {
 		tombstone.KeepUntil = earlier(tombstone.KeepUntil, known.KeepUntil)
 	}
-	isWritten := known.Revision.Era() == tombstone.Revision.Era()
 	if tombstone.Value == nil || !t.order.Supersedes(withoutRemoval(tombstone), withoutRemoval(known)) {
 		tombstone.Value, tombstone.Created = known.Value, known.Created
-		isWritten = isWritten || known.Removed
 	}
-	tombstone.Lost = tombstone.Lost && (known.Lost || !isWritten)
+	if tombstone.Lost && !known.Lost {
+		isRemoved := known.Removed && !t.order.Supersedes(withoutRemoval(tombstone), known)
+		tombstone.Lost = !isRemoved && known.Revision.Era() != tombstone.Revision.Era()
+	}
 	return tombstone
 }
 
