--- a/internal/discovery/fake_store_test.go
+++ b/internal/discovery/fake_store_test.go
@@ -22,6 +22,8 @@
 	// reportsGaps is set if watches from a revision that the store lacks end with
 	// ErrHistoryLost; else they just wait.
 	reportsGaps bool
+	// away is set while no source gets more than a refusal.
+	away bool
 	// staleFor is the age of reads that may be out of date.
 	staleFor time.Duration
 }
--- a/internal/discovery/fakes_test.go
+++ b/internal/discovery/fakes_test.go
@@ -125,7 +125,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.count()
-	if s.unavailable {
+	if s.unavailable || s.store.away {
 		return nil, errUnavailable
 	}
 	return s.store.label(s.store.delta(0, true), held), nil
@@ -150,7 +150,7 @@
 			s.cuts--
 			return nil, errUnavailable
 		}
-		if s.unavailable || s.historyLost {
+		if s.unavailable || s.store.away || s.historyLost {
 			defer s.mu.Unlock()
 			s.count()
 			if s.historyLost {
@@ -189,7 +189,7 @@
 
 func (s *fakeSource) Probe(ctx context.Context, r vanillabarrow.ProbeRequest) (vanillabarrow.Version, error) {
 	s.mu.Lock()
-	silent, unavailable, probeSilent := s.silent, s.unavailable, s.probeSilent
+	silent, unavailable, probeSilent := s.silent, s.unavailable || s.store.away, s.probeSilent
 	revision := s.store.revision
 	if !r.Exact && s.staleRevision > 0 {
 		revision = s.staleRevision
@@ -245,7 +245,7 @@
 	// uplinks holds the links over which nodes send, by address. A node without
 	// one sends in no time.
 	uplinks map[string]*slowLink
-	// mu protects cancels and silent.
+	// mu protects servers, cancels, silent and lateness.
 	mu sync.Mutex
 	// silent holds the nodes whose messages don't arrive any more.
 	silent map[string]bool
@@ -256,11 +256,12 @@
 }
 
 func (f *fakeRelay) Pull(ctx context.Context, address string, request vanillabarrow.ItemRequest) (*vanillabarrow.Delta, error) {
-	if f.servers[address] == nil {
+	server := f.server(address)
+	if server == nil {
 		return nil, errUnavailable
 	}
 	requestedAt := time.Now()
-	d, err := f.servers[address].Pull(request)
+	d, err := server.Pull(request)
 	if err != nil {
 		return nil, err
 	}
@@ -270,7 +271,8 @@
 }
 
 func (f *fakeRelay) Follow(ctx context.Context, address string, request vanillabarrow.ItemRequest, receive func(*vanillabarrow.Delta) error) error {
-	if f.servers[address] == nil {
+	server := f.server(address)
+	if server == nil {
 		return errUnavailable
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -281,7 +283,7 @@
 	requestedAt := time.Now()
 	inFlight := &lateDeltas{receive: receive, cancel: cancel, deltas: make(chan lateDelta, maxLateDeltas), done: make(chan struct{})}
 	go inFlight.run(ctx)
-	err := f.servers[address].Serve(ctx, "follower", request, func(d *vanillabarrow.Delta) error {
+	err := server.Serve(ctx, "follower", request, func(d *vanillabarrow.Delta) error {
 		if err := f.transmit(ctx, address, d); err != nil {
 			return err
 		}
@@ -311,6 +313,12 @@
 	return uplink.send(ctx, d.Size())
 }
 
+func (f *fakeRelay) server(address string) *Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers[address]
+}
+
 func (f *fakeRelay) isSilent(sender string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -327,6 +335,13 @@
 	f.silent[sender] = true
 }
 
+// resume lets the messages of a node arrive again.
+func (f *fakeRelay) resume(sender string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.silent, sender)
+}
+
 // disconnect ends all streams.
 func (f *fakeRelay) disconnect() {
 	f.mu.Lock()
@@ -407,14 +422,7 @@
 	nodes := map[string]*node{}
 	mu := &sync.Mutex{}
 	for _, vm := range vms {
-		table := NewTable(vm, valueOrder{})
-		n := &node{source: &fakeSource{mu: mu, store: s}, pool: kernel.NewPool(kernel.DefaultPoolConfig(), logger)}
-		n.follower = NewFollower(Config{
-			Table: table, Members: membership.New(vm, vm[:1], 1), Source: n.source, Compiler: fakeCompiler{vms: vms}, Relay: relay,
-			Pool: n.pool, Logger: logger, Scope: tally.NoopScope, SelfAddress: vm, FleetSize: len(vms), ReadBudget: max(100, 10*len(vms)),
-		})
-		relay.servers[vm] = NewServer(table, vanillabarrow.DefaultBounds(), logger, tally.NoopScope)
-		nodes[vm] = n
+		nodes[vm] = newNode(&fakeSource{mu: mu, store: s}, relay, vm, vm, vms, logger)
 	}
 	return nodes
 }
@@ -425,6 +433,20 @@
 	}
 }
 
+// newNode returns a node that has not started, and connects it to the others.
+func newNode(source *fakeSource, relay *fakeRelay, vm, incarnation string, vms []string, logger *slog.Logger) *node {
+	table := NewTable(incarnation, valueOrder{})
+	n := &node{source: source, pool: kernel.NewPool(kernel.DefaultPoolConfig(), logger)}
+	n.follower = NewFollower(Config{
+		Table: table, Members: membership.New(vm, vm[:1], 1), Source: n.source, Compiler: fakeCompiler{vms: vms}, Relay: relay,
+		Pool: n.pool, Logger: logger, Scope: tally.NoopScope, SelfAddress: vm, FleetSize: len(vms), ReadBudget: max(100, 10*len(vms)),
+	})
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	relay.servers[vm] = NewServer(table, vanillabarrow.DefaultBounds(), logger, tally.NoopScope)
+	return n
+}
+
 func stopNodes(nodes map[string]*node) {
 	for _, n := range nodes {
 		n.pool.Close()
