Keep lost items for 2.2 s after any restore

Items that the copy lacked stayed in effect for 0.8 s only, as removed ones do, unless the store had been away for 1.5 s before: the listing's own time for missing items took precedence. Their writers need up to 2 s to write again, so that targets were unavailable in between.

TestLostItemStaysInForce failed before where the store was away for 0 and 1 s.

--- a/internal/discovery/restore.go
+++ b/internal/discovery/restore.go
@@ -19,10 +19,8 @@
 // are marked as lost. The items of the delta have been stored.
 func (t *Table) beginEra(listed map[string]bool, d *vanillabarrow.Delta, now time.Time) *EraChange {
 	change := &EraChange{Before: t.asOf, After: d.AsOf}
-	until := d.KeepMissingUntil
-	if until.IsZero() {
-		until = now.Add(outageGracePeriod)
-	}
+	// KeepMissingUntil is that of a removal, which no writer takes back.
+	until := now.Add(outageGracePeriod)
 	for key, e := range t.entries {
 		if e.kept != nil {
 			change.Kept++
--- a/internal/discovery/restore_fleet_test.go
+++ b/internal/discovery/restore_fleet_test.go
@@ -332,3 +332,38 @@
 		})
 	}
 }
+
+// TestLostItemStaysInForce guards against an item that the copy lacks which goes out of
+// force before its writer can write it again, or stays for long.
+func TestLostItemStaysInForce(t *testing.T) {
+	tests := map[string]struct {
+		away time.Duration
+	}{
+		"store not away":            {0},
+		"store away for 1 s":        {time.Second},
+		"store away for 3 s":        {3 * time.Second},
+		"store away for 10 seconds": {10 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startRestoredFleet(t, &fakeStore{stated: 1, reportsGaps: true})
+				defer stopNodes(f.nodes)
+				c := f.store.backup()
+				f.set(func() { f.store.write("came", false) })
+				f.requireWithin("came", true, "before the restore")
+				f.set(func() { f.store.away = true })
+				time.Sleep(tt.away)
+				f.set(func() { f.store.restore(c); f.store.away = false })
+				time.Sleep(repeatTime)
+				for vm, n := range f.nodes {
+					require.True(t, n.has("came"), "%s at %s", vm, n.follower.Table.AsOf())
+				}
+				time.Sleep(backoffMax + outageGracePeriod)
+				for vm, n := range f.nodes {
+					require.False(t, n.has("came"), "%s at %s", vm, n.follower.Table.AsOf())
+				}
+			})
+		})
+	}
+}
