--- a/internal/discovery/restore_fleet_test.go
+++ b/internal/discovery/restore_fleet_test.go
@@ -103,6 +103,9 @@
 	return from + time.Duration(f.rand.Int64N(int64(to-from)))
 }
 
+// intN returns a random number below n.
+func (f *faultyFleet) intN(n int) int { return int(f.between(0, time.Duration(n))) }
+
 // write writes or removes a random key, unless the store is away.
 func (f *faultyFleet) write() {
 	f.set(func() {
@@ -222,19 +225,20 @@
 		delay := f.between(0, troubleTime)
 		wg.Go(func() { time.Sleep(delay); do() })
 	}
-	for range 1 + f.rand.IntN(3) {
+	for range 1 + f.intN(3) {
 		at(f.restore)
 	}
 	vms := slices.Clone(f.vms)
-	if f.rand.IntN(2) == 0 {
+	if f.intN(2) == 0 {
 		away := vms[8:]
 		vms = vms[:8]
-		kind := f.rand.IntN(3)
+		kind := f.intN(3)
 		at(func() { f.disturb(kind, away) })
 	}
-	f.rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
-	for _, vm := range vms[:f.rand.IntN(6)] {
-		kind := f.rand.IntN(4)
+	for range f.intN(6) {
+		i, kind := f.intN(len(vms)), f.intN(4)
+		vm := vms[i]
+		vms = slices.Delete(vms, i, i+1)
 		at(func() { f.disturb(kind, []string{vm}) })
 	}
 	wg.Wait()
