Say in explanations and traces what rests on kept items

'explain' marks routes and targets that are of an earlier era than the copy from which the store was restored, and 'configuration applied', which a trace lists for the versions that a request used, has their number. TestKeptConfigurationIsLogged and two cases of TestExplain are new.

--- a/internal/discovery/changes.go
+++ b/internal/discovery/changes.go
@@ -115,13 +115,29 @@
 	if len(changes) == 0 && older != nil && older.Version == newer.Version {
 		return
 	}
-	logger.Info(logging.EventConfigApplied, "asOf", newer.Version, "age", age, "routes", routes,
-		"services", len(newer.Services), "targets", len(newer.Targets))
+	if kept := keptTargets(newer); kept > 0 || newer.ConfigKept {
+		logger.Info(logging.EventConfigApplied, "asOf", newer.Version, "age", age, "routes", routes,
+			"services", len(newer.Services), "targets", len(newer.Targets), "keptTargets", kept, "configKept", newer.ConfigKept)
+	} else {
+		logger.Info(logging.EventConfigApplied, "asOf", newer.Version, "age", age, "routes", routes,
+			"services", len(newer.Services), "targets", len(newer.Targets))
+	}
 	for _, c := range changes[:min(len(changes), maxChangeLines)] {
 		logChange(logger, c, newer.Version, now)
 	}
 }
 
+// keptTargets returns the number of targets whose registrations are of an earlier era.
+func keptTargets(s *vanillabarrow.Snapshot) int {
+	n := 0
+	for _, t := range s.Targets {
+		if t.Kept {
+			n++
+		}
+	}
+	return n
+}
+
 func logChange(logger *slog.Logger, c Change, asOf vanillabarrow.Version, now time.Time) {
 	if c.Tenant != "" {
 		logger.Info(c.Event, "tenant", c.Tenant, "count", c.Credentials, "asOf", asOf)
--- a/internal/discovery/changes_test.go
+++ b/internal/discovery/changes_test.go
@@ -89,3 +89,25 @@
 	require.Equal(t, 1+maxChangeLines, strings.Count(out.String(), "\n"))
 	require.Contains(t, out.String(), `msg="configuration applied" asOf=7 age=1s routes=0 services=0 targets=100`)
 }
+
+// TestKeptConfigurationIsLogged guards against traces that don't show that a decision rested
+// on what was kept against the copy of a restored platform.
+func TestKeptConfigurationIsLogged(t *testing.T) {
+	tests := map[string]struct {
+		configKept, targetKept bool
+		want                   string
+	}{
+		"nothing":       {false, false, "targets=2\n"},
+		"target":        {false, true, "targets=2 keptTargets=1 configKept=false\n"},
+		"configuration": {true, false, "targets=2 keptTargets=0 configKept=true\n"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := snapshotOf(false, vanillabarrow.Target{Name: "a", Kept: tt.targetKept}, vanillabarrow.Target{Name: "b"})
+			s.ConfigKept = tt.configKept
+			var out bytes.Buffer
+			logApplied(slog.New(slog.NewTextHandler(&out, nil)), nil, s, time.Second, time.Now())
+			require.Contains(t, out.String(), tt.want)
+		})
+	}
+}
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -12,7 +12,10 @@
 // Explanation says where a request would go now and why.
 type Explanation struct {
 	Version vanillabarrow.Version `json:"version"`
-	Route   string                `json:"route,omitempty"`
+	// ConfigKept is set if the routes are of an earlier era than the copy from which the
+	// platform was restored.
+	ConfigKept bool   `json:"configKept,omitempty"`
+	Route      string `json:"route,omitempty"`
 	// Service is the service of the route, or the part of its split that the next
 	// request goes to.
 	Service    string `json:"service,omitempty"`
@@ -61,6 +64,9 @@
 	Load      vanillabarrow.Load `json:"load"`
 	ReportAge time.Duration      `json:"reportAge,omitempty"`
 	Cold      bool               `json:"cold,omitempty"`
+	// Kept is set if the target's registration is of an earlier era than the copy from
+	// which the platform was restored.
+	Kept bool `json:"kept,omitempty"`
 	// Trial is set if the target is due for a single trial request.
 	Trial bool `json:"trial,omitempty"`
 	// LeftOut is the reason for which the target gets no attempt, empty for a
@@ -93,7 +99,7 @@
 	rs, err := d.newRequestState(context.Background(), request)
 	snapshot := d.Configuration.Snapshot()
 	if snapshot != nil {
-		e.Version = snapshot.Version
+		e.Version, e.ConfigKept = snapshot.Version, snapshot.ConfigKept
 	}
 	if err != nil || snapshot.Services[request.Service] == nil {
 		e.refuse(vanillabarrow.AsRefusal(err))
@@ -180,7 +186,7 @@
 func (d *Dispatcher) explainTarget(s *vanillabarrow.Snapshot, c *vanillabarrow.Candidate, leftOut string, now time.Time) ExplainedTarget {
 	t := ExplainedTarget{
 		Name: c.Target.Name, VM: c.Target.VM,
-		InFlight: c.InFlight, Load: c.Load, Cold: now.Before(c.Target.ColdUntil), Trial: c.Trial, LeftOut: leftOut,
+		InFlight: c.InFlight, Load: c.Load, Cold: now.Before(c.Target.ColdUntil), Trial: c.Trial, LeftOut: leftOut, Kept: c.Target.Kept,
 	}
 	if vm := s.VMs[c.Target.VM]; vm != nil {
 		t.DataCentre, t.Region, t.Distance = vm.DataCentre, route.RegionOf(s, c.Target), route.Distance(s, d.DataCentre, c.Target)
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -143,7 +143,7 @@
 		EventOwnTargetServing:        {[]string{"target", "answeredBy", "ok", "for"}, "a health check ended the time for which the gate refused requests because the own target was leaving: the target is healthy, or another one responded at its address"},
 		EventHealthCheckFailed:       {[]string{"target", "failures", "error"}, "the node's own target did not respond to a health check, or with a malformed response"},
 
-		EventConfigApplied:          {[]string{"asOf", "age", "routes", "services", "targets"}, "the configuration compiled from these items is in force; age is the time since the platform last confirmed it"},
+		EventConfigApplied:          {[]string{"asOf", "age", "routes", "services", "targets", "keptTargets", "configKept"}, "the configuration compiled from these items is in force; age is the time since the platform last confirmed it; keptTargets and configKept are there if targets, or the routes and services, are of an earlier era than the copy from which the platform was restored"},
 		EventTargetAdded:            {[]string{"target", "service", "dataCentre", "asOf", "cold"}, "the platform lists a new target; cold is the remaining warm-up time"},
 		EventTargetRemoved:          {[]string{"target", "service", "dataCentre", "asOf"}, "the target was removed from the configuration"},
 		EventTargetDraining:         {[]string{"target", "service", "dataCentre", "asOf"}, "the target accepts no new requests"},
--- a/pkg/cmd/explain/explain.go
+++ b/pkg/cmd/explain/explain.go
@@ -124,6 +124,9 @@
 // decision returns the lines above the table.
 func decision(e *dispatch.Explanation) []string {
 	lines := []string{fmt.Sprintf("configuration %s, route %s, service %s", e.Version, orNone(e.Route), orNone(e.Service))}
+	if e.ConfigKept {
+		lines = append(lines, "the routes are kept from before a restore of the platform, whose copy has an older configuration")
+	}
 	if e.Route != "" {
 		kind := "not idempotent"
 		if e.Idempotent {
@@ -154,6 +157,13 @@
 }
 
 func state(e *dispatch.Explanation, t *dispatch.ExplainedTarget) string {
+	if t.Kept {
+		return role(e, t) + ", kept from before a restore of the platform"
+	}
+	return role(e, t)
+}
+
+func role(e *dispatch.Explanation, t *dispatch.ExplainedTarget) string {
 	switch {
 	case t.LeftOut != "":
 		return "left out: " + t.LeftOut
--- a/pkg/cmd/explain/explain_test.go
+++ b/pkg/cmd/explain/explain_test.go
@@ -22,6 +22,10 @@
 		Route: "returns", Service: "desk", First: "a", AdmitShare: 1,
 		Targets: []dispatch.ExplainedTarget{{Name: "a"}, {Name: "b", LeftOut: "draining"}},
 	}
+	kept := &dispatch.Explanation{
+		Route: "returns", Service: "desk", First: "a", AdmitShare: 1, ConfigKept: true,
+		Targets: []dispatch.ExplainedTarget{{Name: "a"}, {Name: "b", LeftOut: "draining", Kept: true}},
+	}
 	refused := &dispatch.Explanation{AdmitShare: 1, Refusal: &dispatch.ExplainedRefusal{Verdict: "not-run", Reason: "noTarget"}}
 	tests := map[string]struct {
 		args        []string
@@ -32,6 +36,8 @@
 	}{
 		"goes":        {[]string{"/x", "-method", "PUT", "-tenant", "acme", "-host", "h"}, going, false, "", "first a, next none"},
 		"left out":    {[]string{"/x", "-method", "PUT", "-tenant", "acme", "-host", "h"}, going, false, "", "left out: draining"},
+		"kept routes": {[]string{"/x"}, kept, false, "", "the routes are kept from before a restore"},
+		"kept target": {[]string{"/x"}, kept, false, "", "left out: draining, kept from before a restore"},
 		"refused":     {[]string{"/x"}, refused, true, "", "refused: not-run noTarget"},
 		"JSON":        {[]string{"/x", "-json"}, refused, true, "", `"reason": "noTarget"`},
 		"node errors": {[]string{"/x"}, nil, false, "400 Bad Request: no such tenant", ""},
