Test which responses begin an era

TestCheckVersion guards the comparison of a response with the version held when its call began: a mutation that took responses of an earlier era passed all tests before.

--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -82,6 +82,41 @@
 	return table
 }
 
+// TestCheckVersion guards against responses that change or confirm anything although the
+// store lost changes since the call began, or belong to an earlier copy of it.
+func TestCheckVersion(t *testing.T) {
+	held := eraVersion(2, 10)
+	unannounced, _ := held.Era().Next()
+	type response struct {
+		asOf vanillabarrow.Version
+		full bool
+		err  error
+		want vanillabarrow.Version
+	}
+	tests := map[string][]response{
+		"the same":              {{held, false, nil, held}, {held, true, nil, held}},
+		"newer":                 {{eraVersion(2, 11), false, nil, eraVersion(2, 11)}},
+		"earlier era":           {{eraVersion(1, 99), false, errOutdated, eraVersion(1, 99)}, {eraVersion(1, 99), true, errOutdated, eraVersion(1, 99)}},
+		"no era":                {{99, true, errOutdated, 99}},
+		"later era, watch":      {{eraVersion(3, 99), false, errRestored, eraVersion(3, 99)}, {eraVersion(3, 5), true, nil, eraVersion(3, 5)}},
+		"lower, twice":          {{eraVersion(2, 9), false, errRestored, eraVersion(2, 9)}, {eraVersion(2, 9), true, nil, vanillabarrow.NewVersion(unannounced, 9)}},
+		"lower, watches only":   {{eraVersion(2, 9), false, errRestored, eraVersion(2, 9)}, {eraVersion(2, 9), false, errRestored, eraVersion(2, 9)}},
+		"lower, then the same":  {{eraVersion(2, 9), true, errRestored, eraVersion(2, 9)}, {held, true, nil, held}, {eraVersion(2, 9), true, errRestored, eraVersion(2, 9)}},
+		"lower, then later era": {{eraVersion(2, 9), true, errRestored, eraVersion(2, 9)}, {eraVersion(3, 9), true, nil, eraVersion(3, 9)}},
+		"lower, then outdated":  {{eraVersion(2, 9), true, errRestored, eraVersion(2, 9)}, {eraVersion(1, 99), true, errOutdated, eraVersion(1, 99)}},
+	}
+	for name, responses := range tests {
+		t.Run(name, func(t *testing.T) {
+			f, s := NewFollower(Config{Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope}), &sourceState{}
+			for _, r := range responses {
+				d := &vanillabarrow.Delta{AsOf: r.asOf, Full: r.full}
+				require.ErrorIs(t, f.checkVersion(s, d, held), r.err)
+				require.Equal(t, r.want, d.AsOf)
+			}
+		})
+	}
+}
+
 // TestEraChange guards against a change of era that is reported wrongly, or again.
 func TestEraChange(t *testing.T) {
 	now := time.Now()
