--- a/internal/discovery/kept_test.go
+++ b/internal/discovery/kept_test.go
@@ -173,3 +173,29 @@
 		})
 	}
 }
+
+// TestKeptItemsOfTwoNodes guards against a kept item that is replaced by one of another
+// node that was written earlier, in an earlier era.
+func TestKeptItemsOfTwoNodes(t *testing.T) {
+	tests := map[string]struct{ before string }{
+		"removed before":   {"5 copy 6 remove restore"},
+		"other value kept": {"5 copy 6 restore"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			subject, other := NewTable("subject", valueOrder{}), NewTable("other", valueOrder{})
+			p := &restoreScript{t: t, store: &fakeStore{values: map[string]string{}, stated: 1}, now: time.Now()}
+			p.deliver = func(p *restoreScript) { p.read(subject); p.read(other) }
+			p.run(tt.before)
+			p.deliver = func(p *restoreScript) { p.read(subject) }
+			p.run("7")
+			p.store.restore(p.copy.backup())
+			p.read(subject)
+			p.read(other)
+			p.pull(subject, other)
+			require.Equal(t, map[string]string{"key": "7"}, effective(subject, p.now))
+			p.pull(other, subject)
+			require.Equal(t, map[string]string{"key": "7"}, effective(other, p.now))
+		})
+	}
+}
