Test a node that starts between two restores

TestNodeThatStartsBetweenRestores guards the other direction of the same comparison: an item kept from an earlier era that was written later.

--- a/internal/discovery/kept_test.go
+++ b/internal/discovery/kept_test.go
@@ -199,3 +199,21 @@
 		})
 	}
 }
+
+// TestNodeThatStartsBetweenRestores guards against a later value that does not reach a node
+// which keeps an item of the first copy.
+func TestNodeThatStartsBetweenRestores(t *testing.T) {
+	subject, other := NewTable("subject", valueOrder{}), NewTable("other", valueOrder{})
+	p := &restoreScript{t: t, store: &fakeStore{values: map[string]string{}, stated: 1}, now: time.Now()}
+	p.deliver = func(p *restoreScript) { p.read(other) }
+	p.run("2 copy")
+	oldest := p.copy
+	p.run("3 copy 9 restore")
+	p.read(subject)
+	p.store.restore(oldest)
+	p.read(subject)
+	p.read(other)
+	require.Equal(t, map[string]string{"key": "3"}, effective(subject, p.now))
+	p.pull(subject, other)
+	require.Equal(t, map[string]string{"key": "9"}, effective(subject, p.now))
+}
