Read the fake store's era under its lock

The race detector reported the read in fakeSource.Probe beside a restore in one of two full runs of the package (TestChangesAreAppliedAfterRestore).

--- a/internal/discovery/fakes_test.go
+++ b/internal/discovery/fakes_test.go
@@ -190,7 +190,7 @@
 func (s *fakeSource) Probe(ctx context.Context, r vanillabarrow.ProbeRequest) (vanillabarrow.Version, error) {
 	s.mu.Lock()
 	silent, unavailable, probeSilent := s.silent, s.unavailable || s.store.away, s.probeSilent
-	revision := s.store.revision
+	revision, era := s.store.revision, s.store.eraFor(r.Held)
 	if !r.Exact && s.staleRevision > 0 {
 		revision = s.staleRevision
 	}
@@ -207,7 +207,7 @@
 	if unavailable {
 		return 0, errUnavailable
 	}
-	return vanillabarrow.NewVersion(s.store.eraFor(r.Held), revision.Revision()), ctx.Err()
+	return vanillabarrow.NewVersion(era, revision.Revision()), ctx.Err()
 }
 
 func (s *fakeSource) set(change func()) {
