Read the store of the fleet with restores under its lock

TestRestoresBesideFaults/0 failed once with the race detector: the test read the store's era and the time without writes while another restore wrote them.

--- a/internal/discovery/restore_fleet_test.go
+++ b/internal/discovery/restore_fleet_test.go
@@ -49,6 +49,8 @@
 	store *fakeStore
 	relay *fakeRelay
 	vms   []string
+	// announces is set if the store states its era.
+	announces bool
 	// unannounced holds a value during a restore that the store does not announce: a copy with
 	// a higher revision than the store would look like writes.
 	unannounced chan struct{}
@@ -75,6 +77,7 @@
 		last: map[string]int{}, removed: map[string]bool{}, seen: map[string]map[string]seenKey{},
 	}
 	f.store = &fakeStore{values: map[string]string{}, stated: f.rand.Uint64N(3), reportsGaps: f.rand.IntN(2) == 0}
+	f.announces = f.store.stated > 0
 	for _, dataCentre := range []string{"a", "b", "c"} {
 		for i := range 4 {
 			f.vms = append(f.vms, fmt.Sprint(dataCentre, i))
@@ -140,7 +143,7 @@
 // restore makes a copy, and restores the store from it later. The writers then repeat what
 // was lost.
 func (f *faultyFleet) restore() {
-	if f.store.stated == 0 {
+	if !f.announces {
 		f.unannounced <- struct{}{}
 		defer func() { <-f.unannounced }()
 	}
@@ -149,15 +152,17 @@
 	time.Sleep(f.between(time.Second, 6*time.Second))
 	f.set(func() { f.away++; f.store.away = true })
 	time.Sleep(f.between(0, 3*time.Second))
+	var quietUntil time.Time
 	f.set(func() {
 		f.store.restore(c.backup())
 		f.away--
 		f.store.away = f.away > 0
-		if f.store.stated == 0 {
+		if !f.announces {
 			f.quietUntil = time.Now().Add(noticeTime)
 		}
+		quietUntil = f.quietUntil
 	})
-	time.Sleep(time.Until(f.quietUntil))
+	time.Sleep(time.Until(quietUntil))
 	time.Sleep(f.between(0, repeatTime))
 	f.set(f.repeat)
 }
@@ -305,7 +310,7 @@
 		f.set(func() { f.store.put(key, "1") })
 		time.Sleep(f.nodes[f.vms[0]].follower.Bounds.ConfigApply)
 		for _, vm := range f.vms {
-			require.True(f, f.nodes[vm].has(key), "seed %d: %s at %s, which holds %s of %d/%d", f.seed, key, vm, f.nodes[vm].follower.Table.AsOf(), f.store.stated, f.store.revision)
+			require.True(f, f.nodes[vm].has(key), "seed %d: %s at %s, which holds %s", f.seed, key, vm, f.nodes[vm].follower.Table.AsOf())
 		}
 	}
 }
