--- a/internal/sleep/sleep_test.go
+++ b/internal/sleep/sleep_test.go
@@ -23,6 +23,9 @@
 		"timeout": {never, never, time.Second, time.Second, true},
 		"change":  {time.Second, never, 2 * time.Second, time.Second, true},
 		"cancel":  {never, time.Second, 2 * time.Second, time.Second, false},
+		"no time": {never, never, 0, 0, true},
+		"past":    {never, never, -time.Second, 0, true},
+		"ended":   {never, 0, 0, 0, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -48,3 +51,19 @@
 		require.Equal(t, time.Second, time.Since(start))
 	})
 }
+
+// TestWaitsWithoutTime guards against waits without time that end the process under the
+// race detector, see Until.
+func TestWaitsWithoutTime(t *testing.T) {
+	const waiters, waits = 200, 300
+	synctest.Test(t, func(t *testing.T) {
+		for range waiters {
+			go func() {
+				for range waits {
+					sleep.For(t.Context(), 0)
+				}
+			}()
+		}
+		synctest.Wait()
+	})
+}
