Count only a target's own 503 as its leaving

A health check with any status but 200 counted, also one without the target's id: a wrong health path, or something else at the address, took a target out of use for good while the store had it as ready.

Only a 503 with the id of the own target counts now; other failures neither add to the reports nor end them.

--- a/internal/gate/leaving.go
+++ b/internal/gate/leaving.go
@@ -34,14 +34,16 @@
 }
 
 // recordLeaving records what the response to a health check reports about leaving. A
-// rejected check reports nothing about it.
+// rejected check, or a response of something else than a target, reports nothing about it.
 func (g *Gate) recordLeaving(name string, health vanillabarrow.Health, now time.Time) {
-	if health.Shed {
-		return
-	}
 	before, after := *g.leavingReports.Load(), leavingReports{}
-	if !health.OK && (health.Target == "" || health.Target == name) {
+	isOther := health.Target != "" && health.Target != name
+	switch {
+	case health.OK || isOther:
+	case health.Unavailable && health.Target != "":
 		after = before.add(name, now)
+	default:
+		return
 	}
 	g.leavingReports.Store(&after)
 	switch {
--- a/items.go
+++ b/items.go
@@ -191,6 +191,8 @@
 // Health is the result of a target's health check.
 type Health struct {
 	OK bool
+	// Unavailable is set if the target states that it is not healthy or is leaving.
+	Unavailable bool
 	// Shed is set if the target rejected the check because it is at capacity. The
 	// response then does not show whether the target is healthy.
 	Shed bool
