Let what is written after a restore replace kept items

A node compares an item of the copy with the one it keeps by what the writer states, or by the revision of creation. A writer that begins again after the restore with lower numbers, or an evacuation created again at the same revision, was taken for the copy's and stayed without effect.

--- a/internal/discovery/kept_test.go
+++ b/internal/discovery/kept_test.go
@@ -217,3 +217,21 @@
 	p.pull(subject, other)
 	require.Equal(t, map[string]string{"key": "9"}, effective(subject, p.now))
 }
+
+// restoreOrder lets only what was written after a restore replace an item.
+type restoreOrder struct{}
+
+// Supersedes implements vanillabarrow.ItemOrder.
+func (restoreOrder) Supersedes(newer, _ vanillabarrow.Item) bool { return newer.AfterRestore }
+
+// TestWritesAfterRestoreAreMarked guards against a write after a restore that is taken for
+// one of the copy, and the reverse.
+func TestWritesAfterRestoreAreMarked(t *testing.T) {
+	now := time.Now()
+	table := NewTable("one", restoreOrder{})
+	table.Merge(&vanillabarrow.Delta{AsOf: eraVersion(1, 45), Full: true, Items: []vanillabarrow.Item{eraItem("k", "before", 1, 40)}}, now)
+	table.Merge(&vanillabarrow.Delta{AsOf: eraVersion(2, 36), Full: true, Items: []vanillabarrow.Item{eraItem("k", "copy", 2, 30)}}, now)
+	require.Equal(t, "before", effective(table, now)["k"])
+	table.Merge(&vanillabarrow.Delta{AsOf: eraVersion(2, 40), Items: []vanillabarrow.Item{eraItem("k", "again", 2, 40)}}, now)
+	require.Equal(t, "again", effective(table, now)["k"])
+}
--- a/internal/discovery/restore.go
+++ b/internal/discovery/restore.go
@@ -40,7 +40,7 @@
 	t.listings = nil
 	t.removalsFrom = max(t.removalsFrom, d.AsOf)
 	t.fullSequence = t.sequence
-	t.eraChangedAt = now
+	t.eraChangedAt, t.eraBegunAt = now, d.AsOf
 	return change
 }
 
@@ -50,6 +50,7 @@
 	if e == nil {
 		return nil
 	}
+	newer.AfterRestore = newer.Revision > t.eraBegunAt && newer.Revision.Era() == t.eraBegunAt.Era()
 	if e.kept != nil && !t.order.Supersedes(newer, asWritten(*e.kept)) {
 		return e.kept
 	}
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -44,6 +44,9 @@
 	// eraChangedAt is when the items of a later era replaced those of an earlier one,
 	// zero for never.
 	eraChangedAt time.Time
+	// eraBegunAt is the version at which they did, so that later ones of this era were
+	// written after the restore.
+	eraBegunAt vanillabarrow.Version
 	// removalsFrom is the revision from which the table knows all removals but
 	// those that listings hide: it is raised by purged tombstones and forgotten
 	// listings. fullSequence is the same as a sequence number: a stream whose
--- a/items.go
+++ b/items.go
@@ -48,6 +48,9 @@
 	// Kept is set on an item of an earlier era that stays in effect beside one of a
 	// later era, because that one comes from an older copy.
 	Kept bool
+	// AfterRestore is set by the receiving node's table, for a comparison only, on an item
+	// that was written after the platform was restored.
+	AfterRestore bool
 	// FirstSeenAt is the time at which the first node received this revision.
 	FirstSeenAt time.Time
 	// Unchanged is set in a full delta on an item that the receiver already
