Count on after fifteen restores that the store did not announce

The era's field for unannounced restores has four bits. After the fifteenth, a node refused every response, without an end: the platform was gone for it.

The next one counts as the next era that a store could state; only the last era of all has none after it. TestErasAreOrdered fails before.

--- a/version.go
+++ b/version.go
@@ -49,10 +49,11 @@
 // restores returns the number of restores that the store did not announce.
 func (e Era) restores() uint64 { return uint64(e & maxRestores) }
 
-// Next returns the era after a restore that the store did not announce. It returns
-// false if no more of them can be counted.
+// Next returns the era after a restore that the store did not announce. When no more of
+// them can be counted, it is the next one that the store could state. It returns false
+// after the last era.
 func (e Era) Next() (Era, bool) {
-	if e.restores() == maxRestores {
+	if e == MaxEra {
 		return e, false
 	}
 	return e + 1, true
