Call the store once for the same news of a node without eras

A node of the former build that holds a higher revision than this one made this node call the store at each of its deltas, as its revision never enters the table.

The newest such revision is remembered.

--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -185,3 +185,17 @@
 	}
 	require.Equal(t, map[string][2]bool{"same": {}, "kept": {true, false}, "lost": {false, true}}, marks)
 }
+
+// TestCallsForFormerBuild guards against a call of the store at each delta of a node that
+// knows no eras and has a higher revision.
+func TestCallsForFormerBuild(t *testing.T) {
+	table, now := NewTable("started later", valueOrder{}), time.Now()
+	table.Merge(&vanillabarrow.Delta{AsOf: eraVersion(2, 63), Full: true}, now)
+	requests := 0
+	for _, revision := range []vanillabarrow.Version{82, 82, 82, 85, 82, 85} {
+		if table.Merge(&vanillabarrow.Delta{AsOf: revision, WithoutEra: true}, now).MayHaveNews {
+			requests++
+		}
+	}
+	require.Equal(t, 2, requests)
+}
--- a/internal/discovery/restore.go
+++ b/internal/discovery/restore.go
@@ -144,7 +144,9 @@
 	}
 	version := vanillabarrow.NewVersion(t.asOf.Era(), d.AsOf.Revision())
 	t.confirm(version, d.SourceAge, now)
-	return MergeResult{MayHaveNews: version > t.asOf}
+	mayHaveNews := version > max(t.asOf, t.newsWithoutEra)
+	t.newsWithoutEra = max(t.newsWithoutEra, version)
+	return MergeResult{MayHaveNews: mayHaveNews}
 }
 
 // resolveRequest returns the request of a node that knows no eras with its revision in the
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -47,6 +47,8 @@
 	// eraBegunAt is the version at which they did, so that later ones of this era were
 	// written after the restore.
 	eraBegunAt vanillabarrow.Version
+	// newsWithoutEra is the newest version of a node that knows no eras.
+	newsWithoutEra vanillabarrow.Version
 	// removalsFrom is the revision from which the table knows all removals but
 	// those that listings hide: it is raised by purged tombstones and forgotten
 	// listings. fullSequence is the same as a sequence number: a stream whose
