List after a watch that fails while listings would work

Only a call without any response was followed by a listing.

Every second call after a failure is now a listing, whatever the error. The case "error" of TestChangesAreAppliedBesideBrokenWatches fails before.

--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -19,8 +19,8 @@
 	// after is the version to watch from, 0 when a listing is needed.
 	after    vanillabarrow.Version
 	failures int
-	// listNext makes the next call a listing although after is known.
-	listNext bool
+	// listOnce makes the next call a listing although after is known.
+	listOnce bool
 	// relists counts consecutive listings that followed calls which ended quickly.
 	relists int
 	// watches adapts to watches that get no response.
@@ -151,8 +151,8 @@
 }
 
 func (f *Follower) listOrWatch(ctx context.Context, s *sourceState) (*vanillabarrow.Delta, error) {
-	if s.after == 0 || s.listNext {
-		s.listNext = false
+	if s.after == 0 || s.listOnce {
+		s.listOnce = false
 		f.Scope.Counter("lists").Inc(1)
 		return f.Source.List(ctx, f.Table.AsOf())
 	}
@@ -192,13 +192,11 @@
 	}
 	f.listNext(s, cause)
 	f.updateReadiness(time.Now())
-	if errors.Is(err, vanillabarrow.ErrNoResponse) {
-		// Watches alone may get no response.
-		s.listNext = s.failures%2 == 1
-		if s.failures == 1 {
-			// The connection may be silent, which a new one shows at once.
-			return
-		}
+	// Watches alone may fail.
+	s.listOnce = s.failures%2 == 1
+	if s.failures == 1 && errors.Is(err, vanillabarrow.ErrNoResponse) {
+		// The connection may be silent, which a new one shows at once.
+		return
 	}
 	backoff.Wait(ctx, s.failures)
 }
