Take a watch as begun when its content arrives

A store that sends the header of a watch at once and its content never counted as responding: a probe that showed a newer version did not end the watch, and its end was taken for a failure of the store.

OnBegin is called at the first byte of the content, and a watch that ends without one while probes are responded counts as unanswered. The case "header only" of TestChangesAreAppliedBesideBrokenWatches passes before, too, since a listing follows any failure; it guards both.

--- a/internal/discovery/broken_watches_test.go
+++ b/internal/discovery/broken_watches_test.go
@@ -70,6 +70,14 @@
 		"error": func(context.Context, vanillabarrow.WatchRequest) (*vanillabarrow.Delta, error) {
 			return nil, errUnavailable
 		},
+		"header only": func(ctx context.Context, r vanillabarrow.WatchRequest) (*vanillabarrow.Delta, error) {
+			select {
+			case <-ctx.Done():
+				return nil, context.Cause(ctx)
+			case <-time.After(max(r.Wait+lateAfter, silentCallTime)):
+				return nil, vanillabarrow.ErrResponseIncomplete
+			}
+		},
 	}
 	for name, watch := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/discovery/era.go
+++ b/internal/discovery/era.go
@@ -86,7 +86,7 @@
 	case errors.As(err, &fell):
 		f.noteRevisionFell(s, "probe", fell.version, fell.held)
 	case errors.Is(err, errRestored):
-	case errors.Is(err, errWatchBehind), f.isWatchUnanswered(callStart, err):
+	case errors.Is(err, errWatchBehind), errors.Is(err, errWatchUnanswered):
 		f.Scope.Counter("unansweredWatches").Inc(1)
 		if s.watches.recordUnanswered(f.timers.probeInterval) {
 			f.Logger.Warn(logging.EventWatchUnanswered, "after", s.after, "waited", time.Since(callStart))
--- a/internal/discovery/probe.go
+++ b/internal/discovery/probe.go
@@ -14,6 +14,10 @@
 // errProbeFailed ends a watch during which a probe got no response.
 var errProbeFailed = errors.New("probe during a watch")
 
+// errWatchUnanswered is the error of a watch without any content of a response while the
+// platform responded to probes.
+var errWatchUnanswered = errors.New("no response to a watch")
+
 // errWatchBehind ends a watch that has no response although probes show a newer version.
 var errWatchBehind = errors.New("a probe shows a newer version than the watch")
 
@@ -48,13 +52,27 @@
 	w := &waitingWatch{after: after, exact: pacer.isShortened(), abandon: cancel}
 	f.watch.Store(w)
 	defer f.watch.Store(nil)
+	start := time.Now()
 	d, err := f.Source.Watch(ctx, vanillabarrow.WatchRequest{
 		After: after, Wait: pacer.wait(f.timers.watchWait), OnBegin: func() { w.begun.Store(true) },
 	})
-	if cause := context.Cause(ctx); err != nil && cause != nil {
+	if err == nil {
+		return d, nil
+	}
+	if cause := context.Cause(ctx); cause != nil {
 		return nil, cause
 	}
-	return d, err
+	if f.isUnanswered(w, start, err) {
+		return nil, fmt.Errorf("%w: %w", errWatchUnanswered, err)
+	}
+	return nil, err
+}
+
+// isUnanswered reports whether a watch failed without any content of a response while the
+// platform responded to probes.
+func (f *Follower) isUnanswered(w *waitingWatch, start time.Time, err error) bool {
+	waited := errors.Is(err, vanillabarrow.ErrNoResponse) || errors.Is(err, vanillabarrow.ErrResponseIncomplete)
+	return waited && !w.begun.Load() && f.probedAt.Load() > start.Sub(f.startedAt).Nanoseconds()
 }
 
 // loopProbe probes the platform while a watch waits.
@@ -109,13 +127,6 @@
 	w.ahead = true
 }
 
-// isWatchUnanswered reports whether a watch that began at callStart got no response while
-// the platform responded to probes.
-func (f *Follower) isWatchUnanswered(callStart time.Time, err error) bool {
-	responded := f.probedAt.Load() > callStart.Sub(f.startedAt).Nanoseconds()
-	return responded && errors.Is(err, vanillabarrow.ErrNoResponse) && !errors.Is(err, errProbeFailed)
-}
-
 // watchPacer shortens the wait of watches after one that got no response, in case that
 // long waits are the cause.
 type watchPacer struct {
--- a/items.go
+++ b/items.go
@@ -111,7 +111,7 @@
 	After Version
 	// Wait is how long the platform waits for a change.
 	Wait time.Duration
-	// OnBegin is called when the response begins. It is optional.
+	// OnBegin is called when the content of the response begins. It is optional.
 	OnBegin func()
 }
 
