Pause listings that follow watches of another version

A watch that responds at once with a lower revision or a later era led to a listing, after which the count of quick listings began again: both repeated without a pause.

Only a watch that takes effect ends the count. The cases "lower revision" and "later era" of TestChangesAreAppliedBesideBrokenWatches, at most one listing a second at each reader, fail before.

--- a/internal/discovery/broken_watches_test.go
+++ b/internal/discovery/broken_watches_test.go
@@ -78,6 +78,12 @@
 				return nil, vanillabarrow.ErrResponseIncomplete
 			}
 		},
+		"lower revision": func(_ context.Context, r vanillabarrow.WatchRequest) (*vanillabarrow.Delta, error) {
+			return &vanillabarrow.Delta{AsOf: r.After - 1}, nil
+		},
+		"later era": func(context.Context, vanillabarrow.WatchRequest) (*vanillabarrow.Delta, error) {
+			return &vanillabarrow.Delta{AsOf: eraVersion(7, 1)}, nil
+		},
 	}
 	for name, watch := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -141,6 +141,8 @@
 	s.after = d.AsOf
 	if d.Full {
 		s.listedBytes = d.Size()
+	} else {
+		s.relists = 0
 	}
 	f.listNext(s, causeAfterDelta(d, f.Table.AsOf(), s.listedBytes))
 	f.merge(d, "platform")
@@ -162,7 +164,6 @@
 	}
 	d, err := f.watchWithProbes(ctx, s.after, &s.watches)
 	if err == nil {
-		s.relists = 0
 		s.watches.recordResponse(f.timers.watchWait)
 	}
 	return d, err
