Remember a revision that fell until a listing

After a listing or an exact probe had shown a lower revision, any response with one that was not lower made the node forget it. Where writers pass the revision held before the second listing, the restore was never noticed, and what the copy lacks stayed.

The fall of a listing or an exact probe now holds until the next listing, which begins the era whatever its revision; a watch alone, which may come from a replica that is behind, needs a listing that is lower too. The log states a fall, and responses of an earlier era, once.

The case "lower, then the same" of TestCheckVersion required that the fall is forgotten; "lower, then passed" requires the reverse in its place and fails before, and "lower watch, lists on" keeps the old expectation for watches. TestChangesDuringRestoreAreApplied passes before, too: its nodes learned of the restore in another way.

--- a/internal/discovery/era.go
+++ b/internal/discovery/era.go
@@ -20,39 +20,54 @@
 
 // checkVersion compares the version of a response with the one that was held when the
 // call began. Since the platform's responses are linearizable, a lower revision shows
-// that it lost changes. A second response, to a listing that began after the first one,
-// begins an era that the platform did not announce.
+// that it lost changes. The listing after another response that shows it begins an era
+// that the platform did not announce.
 func (f *Follower) checkVersion(s *sourceState, d *vanillabarrow.Delta, held vanillabarrow.Version) error {
+	if s.fellIn != held.Era() {
+		s.revisionFell, s.watchFell = false, false
+	}
+	isOutdated := d.AsOf.Era() < held.Era()
+	defer func() { s.outdated = isOutdated }()
 	switch {
-	case d.AsOf.Era() < held.Era():
-		f.Scope.Counter("responsesOutdated").Inc(1)
-		f.Logger.Info(logging.EventResponseOutdated, "call", callName(d), "asOf", d.AsOf, "held", held)
+	case isOutdated:
+		f.noteOutdated(s, d, held)
 		return fmt.Errorf("%w: %s, held %s", errOutdated, d.AsOf, held)
 	case d.AsOf.Era() > held.Era():
-		s.revisionFell = false
 		if !d.Full && held > 0 {
 			return errRestored
 		}
-	case d.AsOf >= held:
-		s.revisionFell = false
-	case d.Full && s.revisionFell:
-		s.revisionFell = false
+	case d.Full && (s.revisionFell || s.watchFell && d.AsOf < held):
+		s.revisionFell, s.watchFell = false, false
 		return beginUnannouncedEra(d)
+	case d.AsOf >= held:
+		s.watchFell = false
+	case d.Full:
+		f.noteRevisionFell(s, d.AsOf, held)
+		return errRestored
 	default:
-		f.noteRevisionFell(s, callName(d), d.AsOf, held)
+		// Watches alone may be behind, which a listing shows.
+		s.watchFell, s.fellIn = true, held.Era()
 		return errRestored
 	}
 	return nil
 }
 
-// noteRevisionFell notes a response whose revision is lower than the one held when the
-// call began.
-func (f *Follower) noteRevisionFell(s *sourceState, call string, version, held vanillabarrow.Version) {
+// noteOutdated logs the first of consecutive responses of an earlier era.
+func (f *Follower) noteOutdated(s *sourceState, d *vanillabarrow.Delta, held vanillabarrow.Version) {
+	f.Scope.Counter("responsesOutdated").Inc(1)
+	if !s.outdated {
+		f.Logger.Warn(logging.EventResponseOutdated, "call", callName(d), "asOf", d.AsOf, "held", held)
+	}
+}
+
+// noteRevisionFell notes a listing or an exact probe whose revision is lower than the one
+// held when the call began.
+func (f *Follower) noteRevisionFell(s *sourceState, version, held vanillabarrow.Version) {
 	f.Scope.Counter("revisionsFell").Inc(1)
 	if !s.revisionFell {
-		f.Logger.Warn(logging.EventRevisionFell, "call", call, "asOf", version, "held", held)
+		f.Logger.Warn(logging.EventRevisionFell, "asOf", version, "held", held)
 	}
-	s.revisionFell = true
+	s.revisionFell, s.fellIn = true, held.Era()
 }
 
 // beginUnannouncedEra makes a delta one of the era after its own.
@@ -84,7 +99,7 @@
 	var fell *revisionFellError
 	switch {
 	case errors.As(err, &fell):
-		f.noteRevisionFell(s, "probe", fell.version, fell.held)
+		f.noteRevisionFell(s, fell.version, fell.held)
 	case errors.Is(err, errRestored):
 	case errors.Is(err, errWatchBehind), errors.Is(err, errWatchUnanswered):
 		f.Scope.Counter("unansweredWatches").Inc(1)
--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -101,7 +101,8 @@
 		"later era, watch":      {{eraVersion(3, 99), false, errRestored, eraVersion(3, 99)}, {eraVersion(3, 5), true, nil, eraVersion(3, 5)}},
 		"lower, twice":          {{eraVersion(2, 9), false, errRestored, eraVersion(2, 9)}, {eraVersion(2, 9), true, nil, vanillabarrow.NewVersion(unannounced, 9)}},
 		"lower, watches only":   {{eraVersion(2, 9), false, errRestored, eraVersion(2, 9)}, {eraVersion(2, 9), false, errRestored, eraVersion(2, 9)}},
-		"lower, then the same":  {{eraVersion(2, 9), true, errRestored, eraVersion(2, 9)}, {held, true, nil, held}, {eraVersion(2, 9), true, errRestored, eraVersion(2, 9)}},
+		"lower, then passed":    {{eraVersion(2, 9), true, errRestored, eraVersion(2, 9)}, {eraVersion(2, 12), true, nil, vanillabarrow.NewVersion(unannounced, 12)}},
+		"lower watch, lists on": {{eraVersion(2, 9), false, errRestored, eraVersion(2, 9)}, {held, true, nil, held}, {eraVersion(2, 9), true, errRestored, eraVersion(2, 9)}},
 		"lower, then later era": {{eraVersion(2, 9), true, errRestored, eraVersion(2, 9)}, {eraVersion(3, 9), true, nil, eraVersion(3, 9)}},
 		"lower, then outdated":  {{eraVersion(2, 9), true, errRestored, eraVersion(2, 9)}, {eraVersion(1, 99), true, errOutdated, eraVersion(1, 99)}},
 	}
--- a/internal/discovery/fake_source_test.go
+++ b/internal/discovery/fake_source_test.go
@@ -30,6 +30,8 @@
 	// idleSilent is set while an idle connection is silent.
 	silences   int
 	idleSilent bool
+	// listTime is how long a listing takes to arrive.
+	listTime time.Duration
 	// watchesSilent is set while watches get no response.
 	watchesSilent bool
 	// staleRevision is the revision of reads that may be out of date, 0 for the newest.
@@ -109,13 +111,19 @@
 		sleep.For(ctx, silentCallTime)
 		return nil, vanillabarrow.ErrNoResponse
 	}
+	d, listTime, err := s.list(held)
+	sleep.For(ctx, listTime)
+	return d, err
+}
+
+func (s *fakeSource) list(held vanillabarrow.Version) (*vanillabarrow.Delta, time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.count()
 	if s.unavailable || s.store.away {
-		return nil, errUnavailable
+		return nil, 0, errUnavailable
 	}
-	return s.store.label(s.store.delta(0, true), held), nil
+	return s.store.label(s.store.delta(0, true), held), s.listTime, nil
 }
 
 func (s *fakeSource) Watch(ctx context.Context, r vanillabarrow.WatchRequest) (*vanillabarrow.Delta, error) {
--- a/internal/discovery/restore_test.go
+++ b/internal/discovery/restore_test.go
@@ -146,3 +146,37 @@
 		})
 	}
 }
+
+// TestChangesDuringRestoreAreApplied guards against changes that are lost for good since
+// writers raise the revision above the one held before a second listing shows the restore.
+func TestChangesDuringRestoreAreApplied(t *testing.T) {
+	tests := map[string]fakeStore{
+		"no era": {reportsGaps: true},
+		"era":    {reportsGaps: true, stated: 1},
+	}
+	for name, store := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startRestoredFleet(t, &store)
+				defer stopNodes(f.nodes)
+				f.each("", func(s *fakeSource) { s.listTime = 250 * time.Millisecond })
+				c := f.store.backup()
+				for range 20 {
+					f.set(func() { f.store.write("k1", false) })
+				}
+				f.set(func() { f.store.put("k2", "500") })
+				f.requireWithin("k2", true, "before the restore")
+				f.set(func() { f.store.restore(c) })
+				f.set(func() { f.store.put("k2", "501") })
+				for range 60 {
+					f.set(func() { f.store.write("k1", false) })
+					time.Sleep(10 * time.Millisecond)
+				}
+				time.Sleep(vanillabarrow.DefaultBounds().ConfigApply)
+				for vm, n := range f.nodes {
+					require.Equal(t, "501", n.follower.Snapshot().Targets["k2"].Service, "%s holds %s", vm, n.follower.Table.AsOf())
+				}
+			})
+		})
+	}
+}
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -36,8 +36,14 @@
 	// the last failure. Until outageGraceUntil, removals may be due to it.
 	outage           bool
 	outageGraceUntil time.Time
-	// revisionFell is set once a response had a lower revision than was held.
+	// revisionFell is set once a listing or an exact probe showed a lower revision than was
+	// held, which was of the era fellIn.
 	revisionFell bool
+	fellIn       vanillabarrow.Era
+	// watchFell is set if only a watch showed it.
+	watchFell bool
+	// outdated is set if the last response was of an earlier era.
+	outdated bool
 	// standbyUntil is until when a node that is not a reader reads the
 	// platform.
 	standbyUntil time.Time
