Confirm a later era by a second response

All nodes follow the first one that takes a later era, and nothing takes them back. One listing with a wrong Store-Era (a proxy, another store at the address for a moment) left the whole fleet in an era that the store never reaches: every response was outdated from then on.

A node takes a later era that the store states once another response shows it, a probe if no watch did.

--- a/internal/discovery/broken_watches_test.go
+++ b/internal/discovery/broken_watches_test.go
@@ -105,3 +105,48 @@
 		})
 	}
 }
+
+// mistakenLists is a source that states a later era than the store's in some listings.
+type mistakenLists struct {
+	*fakeSource
+	// mistakes is the number of these listings that are left.
+	mistakes *int
+}
+
+func (s mistakenLists) List(ctx context.Context, held vanillabarrow.Version) (*vanillabarrow.Delta, error) {
+	d, err := s.fakeSource.List(ctx, held)
+	s.set(func() {
+		if err == nil && *s.mistakes > 0 {
+			*s.mistakes--
+			d.AsOf = eraVersion(7, d.AsOf.Revision())
+		}
+	})
+	return d, err
+}
+
+// TestEraOfOneResponse guards against a fleet that follows a later era which one response
+// states by mistake.
+func TestEraOfOneResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{stated: 1, values: map[string]string{}}
+		s.write("k1", false)
+		nodes, mistakes := newFleet(s, &fakeRelay{}, []string{"a1", "a2", "a3", "b1", "b2"}, discardLogs), 0
+		for _, node := range nodes {
+			node.follower.Source = mistakenLists{node.source, &mistakes}
+		}
+		startNodesOf(t, nodes)
+		defer stopNodes(nodes)
+		f := &restoredFleet{t, s, nodes}
+		time.Sleep(6 * time.Second)
+		f.each("", func(s *fakeSource) { s.historyLost = true })
+		f.set(func() { mistakes = 1 })
+		f.set(func() { f.store.write("k1", false) })
+		time.Sleep(5 * time.Second)
+		f.set(func() { require.Zero(t, mistakes) })
+		f.set(func() { f.store.write("new", false) })
+		f.requireWithin("new", true, "added")
+		for vm, n := range f.nodes {
+			require.Equal(t, eraVersion(1, 1).Era(), n.follower.Table.AsOf().Era(), vm)
+		}
+	})
+}
--- a/internal/discovery/era.go
+++ b/internal/discovery/era.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -18,6 +19,19 @@
 	errOutdated = errors.New("response of an earlier era")
 )
 
+// acceptVersion returns an error if a response may not take effect, see checkVersion. A
+// later era that the platform states takes effect once a second response shows it.
+func (f *Follower) acceptVersion(ctx context.Context, s *sourceState, d *vanillabarrow.Delta, held vanillabarrow.Version) error {
+	if err := f.checkVersion(s, d, held); err != nil {
+		return err
+	}
+	isStated := d.AsOf.Era().Stated() > held.Era().Stated()
+	if held > 0 && isStated && !f.confirmsEra(ctx, s, d.AsOf.Era()) {
+		return errRestored
+	}
+	return nil
+}
+
 // checkVersion compares the version of a response with the one that was held when the
 // call began. Since the platform's responses are linearizable, a lower revision shows
 // that it lost changes. The listing after another response that shows it begins an era
@@ -34,6 +48,7 @@
 		return fmt.Errorf("%w: %s, held %s", errOutdated, d.AsOf, held)
 	case d.AsOf.Era() > held.Era():
 		if !d.Full && held > 0 {
+			s.laterEra = d.AsOf.Era()
 			return errRestored
 		}
 	case d.Full && (s.revisionFell || s.watchFell && d.AsOf < held):
@@ -52,6 +67,17 @@
 	return nil
 }
 
+// confirmsEra reports whether a second response of the platform shows the later era of a
+// listing, since all nodes follow the first one that takes it.
+func (f *Follower) confirmsEra(ctx context.Context, s *sourceState, era vanillabarrow.Era) bool {
+	if s.laterEra == era {
+		return true
+	}
+	s.laterEra = era
+	version, err := f.Source.Probe(ctx, vanillabarrow.ProbeRequest{Held: f.Table.AsOf(), Exact: true, Timeout: f.timers.probeTimeout})
+	return err == nil && version.Era() == era
+}
+
 // noteOutdated logs the first of consecutive responses of an earlier era.
 func (f *Follower) noteOutdated(s *sourceState, d *vanillabarrow.Delta, held vanillabarrow.Version) {
 	f.Scope.Counter("responsesOutdated").Inc(1)
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -42,6 +42,8 @@
 	fellIn       vanillabarrow.Era
 	// watchFell is set if only a watch showed it.
 	watchFell bool
+	// laterEra is the last era above the one held that a response showed.
+	laterEra vanillabarrow.Era
 	// outdated is set if the last response was of an earlier era.
 	outdated bool
 	// standbyUntil is until when a node that is not a reader reads the
@@ -137,7 +139,7 @@
 		f.handleSourceFailure(ctx, s, callStart, err)
 		return
 	}
-	if err := f.checkVersion(s, d, held); err != nil {
+	if err := f.acceptVersion(ctx, s, d, held); err != nil {
 		f.handleSourceFailure(ctx, s, callStart, err)
 		return
 	}
