Probe in place of a listing for an own target that is removed

Each node whose own target is removed asks the store whether it is cut off itself, and listed all items for that: 60 targets that leave together, or a copy that lacks 100, were as many listings at once, far over the budget of calls.

An exact probe shows the same. A target that had announced its leaving needs none.

--- a/internal/discovery/connectivity.go
+++ b/internal/discovery/connectivity.go
@@ -1,8 +1,11 @@
 package discovery
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
 )
 
 const (
@@ -79,8 +82,20 @@
 func (f *Follower) LastResponse() time.Time { return f.connectivity.lastResponse() }
 
 // isOwnTargetRemoved reports whether the platform removed the entry of this node's
-// target.
+// target, which had not announced a shutdown.
 func (f *Follower) isOwnTargetRemoved() bool {
 	target := f.OwnTarget.Resolve(f.snapshot.Load())
-	return target != nil && !target.RemovedAt.IsZero()
+	return target != nil && !target.RemovedAt.IsZero() && !target.Draining
+}
+
+// checkConnectivity probes the platform, whose response shows whether the own target left or
+// this VM is disconnected. A watch might wait although the platform responds to other calls.
+func (f *Follower) checkConnectivity(ctx context.Context) {
+	start := time.Now()
+	_, err := f.Source.Probe(ctx, vanillabarrow.ProbeRequest{Held: f.Table.AsOf(), Exact: true, Timeout: f.timers.probeTimeout})
+	if err != nil {
+		f.connectivity.recordFailure(start)
+		return
+	}
+	f.connectivity.recordSuccess(time.Now())
 }
--- /dev/null
+++ b/internal/discovery/removed_targets_test.go
@@ -0,0 +1,72 @@
+package discovery
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	vanillabarrow "github.com/vanillabarrow/vanillabarrow"
+	"github.com/vanillabarrow/vanillabarrow/internal/random"
+)
+
+// removalCompiler states when targets were removed, as the platform's compiler does.
+type removalCompiler struct{ fakeCompiler }
+
+func (c removalCompiler) Compile(items []vanillabarrow.Item, version vanillabarrow.Version, now time.Time) (*vanillabarrow.Snapshot, []error) {
+	s, problems := c.fakeCompiler.Compile(items, version, now)
+	for _, item := range items {
+		if item.Removed && s.Targets[item.Key] != nil {
+			s.Targets[item.Key].RemovedAt = item.FirstSeenAt
+		}
+	}
+	return s, problems
+}
+
+// TestRestoreBesideRemovedTargets guards against nodes that all list when their own targets
+// are removed, or missing in a copy.
+func TestRestoreBesideRemovedTargets(t *testing.T) {
+	// maxListings is some for each reader.
+	const maxListings = 20
+	tests := map[string]func(f *costFleet){
+		"calm, none": func(*costFleet) {},
+		"calm, 60 targets leave": func(f *costFleet) {
+			f.set(func() {
+				for _, vm := range f.vms[:60] {
+					f.store.write("servers/"+vm, true)
+				}
+			})
+		},
+		"restore, copy lacks 100 targets": func(f *costFleet) {
+			f.set(func() {
+				c := f.store.backup()
+				for _, vm := range f.vms[:100] {
+					delete(c.values, "servers/"+vm)
+				}
+				c.revision -= 5
+				f.store.restore(c)
+			})
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer random.Seed(1)()
+				f := startCostFleet(t, 195)
+				defer stopNodes(f.nodes)
+				for vm, n := range f.nodes {
+					n.follower.Compiler = removalCompiler{fakeCompiler{vms: f.vms}}
+					n.follower.OwnTarget = vanillabarrow.TargetRef{Name: "servers/" + vm}
+				}
+				time.Sleep(15 * time.Second)
+				f.meter.take()
+				change(f)
+				time.Sleep(3 * time.Second)
+				cost := f.meter.take()
+				require.LessOrEqual(t, cost.peak1s, storeReadBudget)
+				require.LessOrEqual(t, cost.lists, maxListings, "%+v", cost)
+			})
+		})
+	}
+}
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -67,11 +67,8 @@
 			f.logReading(reading)
 			if !reading {
 				f.connectivity.forget()
-			}
-			if reading && f.isOwnTargetRemoved() {
-				// A listing returns without delay; a watch waits for
-				// the next change.
-				s.after = 0
+			} else if f.isOwnTargetRemoved() {
+				f.checkConnectivity(ctx)
 			}
 		}
 		if !should {
