Do not count a silent watch as a disconnection

A watch without a response counted as a call that failed from its beginning on, so that a node was disconnected for its gate while other calls were responded, and the gate served its target on after the removal.

A single silent call shows nothing; the time without a response counts from the last one of any call, and a listing that replaces a watch needs a response first.

--- a/internal/discovery/removed_targets_test.go
+++ b/internal/discovery/removed_targets_test.go
@@ -70,3 +70,47 @@
 		})
 	}
 }
+
+// TestSilentWatchesAreNoDisconnection guards against a node that counts as disconnected
+// while only watches do not respond, so that its gate serves a target that was removed.
+func TestSilentWatchesAreNoDisconnection(t *testing.T) {
+	tests := map[string]struct {
+		unavailable, want bool
+	}{
+		"other calls respond":  {false, false},
+		"no call is responded": {true, true},
+	}
+	for name, tt := range tests {
+		for _, vm := range []string{"a1", "a2", "a3", "a4"} {
+			t.Run(name+"/"+vm, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					vms := []string{"a1", "a2", "a3", "a4", "b1", "b2", "b3"}
+					s := &fakeStore{values: map[string]string{}}
+					s.write("own", false)
+					nodes := newFleet(s, &fakeRelay{}, vms, discardLogs)
+					for _, n := range nodes {
+						n.follower.Compiler = removalCompiler{fakeCompiler{vms: vms}}
+					}
+					nodes[vm].follower.OwnTarget = vanillabarrow.TargetRef{Name: "own"}
+					startNodesOf(t, nodes)
+					defer stopNodes(nodes)
+					f := &restoredFleet{t, s, nodes}
+					time.Sleep(6 * time.Second)
+					f.each("", func(s *fakeSource) { s.watchesSilent = true })
+					time.Sleep(3 * time.Second)
+					f.set(func() { f.store.write("own", true) })
+					time.Sleep(vanillabarrow.DefaultBounds().ConfigApply / 2)
+					removedAt := time.Now()
+					nodes[vm].source.set(func() { nodes[vm].source.unavailable = tt.unavailable })
+					disconnected := false
+					for range 40 {
+						time.Sleep(100 * time.Millisecond)
+						disconnected = disconnected || nodes[vm].follower.IsDisconnected(time.Now())
+					}
+					require.Equal(t, tt.want, disconnected)
+					require.Equal(t, !tt.want, nodes[vm].follower.LastResponse().After(removedAt))
+				})
+			})
+		}
+	}
+}
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -191,7 +191,10 @@
 		return
 	}
 	s.recordFailure(callStart, time.Now(), f.Table.ConfirmedAt(), err)
-	f.connectivity.recordFailure(callStart)
+	if s.failures > 1 || !errors.Is(err, vanillabarrow.ErrNoResponse) || errors.Is(err, errProbeFailed) {
+		// A single call without a response may be a watch, while other calls work.
+		f.connectivity.recordFailure(later(s.failingSince, f.connectivity.lastResponse()))
+	}
 	f.Scope.Counter("sourceErrors").Inc(1)
 	if !f.platformUnavailable.Swap(true) {
 		f.Logger.Warn(logging.EventPlatformUnavailable, "error", err, "after", s.after)
@@ -211,6 +214,7 @@
 // delayed, as the platform may contradict itself.
 func (f *Follower) relist(ctx context.Context, s *sourceState, callStart time.Time) {
 	s.after = 0
+	f.connectivity.recordSuccess(time.Now())
 	if time.Since(callStart) >= f.timers.probeInterval {
 		s.relists = 0
 	}
@@ -284,6 +288,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
