Count the time of an unanswered watch for removals

A removal that a listing shows after a watch without a response stayed in effect for the usual second from then on, on top of the time that the watch had waited in vain.

The time from the beginning of that watch counts; beside exact probes it counts from the last one. Two cases of TestKeepRemovedUntil state both. The removed target of TestSilentWatchesAreNoDisconnection was gone before its checks then, so that nothing was left to check: its fleet keeps removals for ten seconds, and the test still fails if a silent watch counts as a failure of the store.

--- a/internal/discovery/era.go
+++ b/internal/discovery/era.go
@@ -128,6 +128,11 @@
 		f.noteRevisionFell(s, fell.version, fell.held)
 	case errors.Is(err, errRestored):
 	case errors.Is(err, errWatchBehind), errors.Is(err, errWatchUnanswered):
+		s.unansweredSince = callStart
+		if s.watches.isShortened() {
+			// The probes beside it were exact, so that the data was confirmed until the last.
+			s.unansweredSince = time.Now()
+		}
 		f.Scope.Counter("unansweredWatches").Inc(1)
 		if s.watches.recordUnanswered(f.timers.probeInterval) {
 			f.Logger.Warn(logging.EventWatchUnanswered, "after", s.after, "waited", time.Since(callStart))
--- a/internal/discovery/outage_test.go
+++ b/internal/discovery/outage_test.go
@@ -74,6 +74,8 @@
 		"after a cut watch":               {sourceState{failures: 1, failingSince: now.Add(-100 * ms)}, 1100 * ms, 600 * ms},
 		"after a watch cut early":         {sourceState{failures: 1, failingSince: now.Add(-100 * ms)}, 300 * ms, 800 * ms},
 		"after a silent watch":            {sourceState{failures: 1, failingSince: now.Add(-1600 * ms)}, 300 * ms, 100 * ms},
+		"after an unanswered watch":       {sourceState{unansweredSince: now.Add(-1600 * ms)}, 300 * ms, 100 * ms},
+		"after one beside exact probes":   {sourceState{unansweredSince: now}, 1100 * ms, 600 * ms},
 		"confirmation long ago":           {sourceState{unconfirmed: true}, 4000 * ms, -2300 * ms},
 	}
 	for name, tt := range tests {
--- a/internal/discovery/removed_targets_test.go
+++ b/internal/discovery/removed_targets_test.go
@@ -90,6 +90,8 @@
 					nodes := newFleet(s, &fakeRelay{}, vms, discardLogs)
 					for _, n := range nodes {
 						n.follower.Compiler = removalCompiler{fakeCompiler{vms: vms}}
+						// The removed target stays until the end.
+						n.follower.timers.removalGrace, n.follower.timers.unconfirmedRemovalGrace = 10*time.Second, 10*time.Second
 					}
 					nodes[vm].follower.OwnTarget = vanillabarrow.TargetRef{Name: "own"}
 					startNodesOf(t, nodes)
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -23,6 +23,9 @@
 	listOnce bool
 	// relists counts consecutive listings that followed calls which ended quickly.
 	relists int
+	// unansweredSince is from when on changes may have been missed, since the last watch got
+	// no response while the platform responded to other calls. It is zero else.
+	unansweredSince time.Time
 	// watches adapts to watches that get no response.
 	watches watchPacer
 	// listedBytes is the size of the last listing, 0 before the first.
@@ -255,6 +258,7 @@
 	s.failures = 0
 	s.outage = false
 	s.unconfirmed = false
+	s.unansweredSince = time.Time{}
 }
 
 // keepRemovedUntil returns until when the items stay in effect that a response
@@ -281,6 +285,8 @@
 	case s.failures > 0:
 		// Probes also confirm the data while the watch is silent.
 		return earlier(confirmedAt, s.failingSince)
+	case !s.unansweredSince.IsZero():
+		return earlier(confirmedAt, s.unansweredSince)
 	case s.unconfirmed:
 		return confirmedAt
 	default:
