Do not confirm by a stale read what a newer one contradicts

A probe that may be out of date and showed the version held confirmed it, also after another probe had shown a newer one during the same watch: the node, and those that follow it, counted old data as recent until the watch ended.

An exact probe follows in this case. The case "same after a newer one" of TestProbeDuringWatch fails before.

--- a/internal/discovery/probe.go
+++ b/internal/discovery/probe.go
@@ -86,7 +86,8 @@
 
 // probe calls the platform during a watch. If it responds with the version held, the
 // watch would have returned a change, so the data held is confirmed. A read that may be
-// out of date proves nothing if it shows a lower version, so that an exact one follows.
+// out of date proves nothing if it shows a lower version, or the one held after a probe
+// showed a newer one, so that an exact one follows.
 // Without a response the watch may be waiting in vain, and is abandoned for a new one.
 func (f *Follower) probe(ctx context.Context, w *waitingWatch, exact bool) {
 	f.Scope.Counter("probes").Inc(1)
@@ -102,7 +103,7 @@
 	f.connectivity.recordResponse(time.Now())
 	f.probedAt.Store(time.Since(f.startedAt).Nanoseconds())
 	switch {
-	case version == w.after:
+	case version == w.after && (exact || !w.ahead):
 		now := time.Now()
 		f.Table.Confirm(w.after, now.Sub(start), now)
 	case version.Era() > w.after.Era():
--- a/internal/discovery/probe_test.go
+++ b/internal/discovery/probe_test.go
@@ -37,6 +37,7 @@
 		"again":                            {revision: 4, stale: 4, ahead: true, abandoned: true},
 		"again as the response arrives":    {revision: 4, stale: 4, ahead: true, begun: true},
 		"newer after an unanswered watch":  {revision: 4, stale: 3, exact: true, abandoned: true},
+		"same after a newer one":           {revision: 4, stale: 3, ahead: true, abandoned: true},
 		"same after an unanswered watch":   {revision: 3, stale: 2, exact: true, confirmed: true},
 		"does not respond":                 {unavailable: true, revision: 3, stale: 3, abandoned: true},
 		"responds after the watch":         {ended: true, revision: 3, stale: 3},
