Take an exact probe of an earlier era for outdated

An exact probe answered from an earlier era (another copy of the store behind the address) counted as a revision that fell: the next listing began an era that the store never announced, at the node and then in the whole fleet, and the answer counted as one of the store.

It is outdated now, as listings and watches are: counted, logged, and a failure; a check of the own connection with such an answer is one, too. The case "earlier era" of TestProbeDuringWatch fails before. Its cases with eras had no effect until now, as the fake store stated none.

--- a/internal/discovery/connectivity.go
+++ b/internal/discovery/connectivity.go
@@ -91,9 +91,9 @@
 // checkConnectivity probes the platform, whose response shows whether the own target left or
 // this VM is disconnected. A watch might wait although the platform responds to other calls.
 func (f *Follower) checkConnectivity(ctx context.Context) {
-	start := time.Now()
-	_, err := f.Source.Probe(ctx, vanillabarrow.ProbeRequest{Held: f.Table.AsOf(), Exact: true, Timeout: f.timers.probeTimeout})
-	if err != nil {
+	start, held := time.Now(), f.Table.AsOf()
+	version, err := f.Source.Probe(ctx, vanillabarrow.ProbeRequest{Held: held, Exact: true, Timeout: f.timers.probeTimeout})
+	if err != nil || version.Era() < held.Era() {
 		f.connectivity.recordFailure(start)
 		return
 	}
--- a/internal/discovery/era.go
+++ b/internal/discovery/era.go
@@ -19,6 +19,20 @@
 	errOutdated = errors.New("response of an earlier era")
 )
 
+// outdatedError is an errOutdated with the version of the response and the one held.
+type outdatedError struct {
+	call          string
+	version, held vanillabarrow.Version
+}
+
+// Error implements error.
+func (e *outdatedError) Error() string {
+	return fmt.Sprintf("%v: %s of %s, held %s", errOutdated, e.call, e.version, e.held)
+}
+
+// Unwrap returns errOutdated.
+func (*outdatedError) Unwrap() error { return errOutdated }
+
 // acceptVersion returns an error if a response may not take effect, see checkVersion. A
 // later era that the platform states takes effect once a second response shows it.
 func (f *Follower) acceptVersion(ctx context.Context, s *sourceState, d *vanillabarrow.Delta, held vanillabarrow.Version) error {
@@ -43,12 +57,11 @@
 	if s.fellIn != held.Era() {
 		s.revisionFell, s.watchFell = false, false
 	}
-	isOutdated := d.AsOf.Era() < held.Era()
-	defer func() { s.outdated = isOutdated }()
+	if d.AsOf.Era() < held.Era() {
+		return &outdatedError{call: callName(d), version: d.AsOf, held: held}
+	}
+	s.outdated = false
 	switch {
-	case isOutdated:
-		f.noteOutdated(s, d, held)
-		return fmt.Errorf("%w: %s, held %s", errOutdated, d.AsOf, held)
 	case d.AsOf.Era() > held.Era():
 		if !d.Full && held > 0 {
 			s.laterEra = d.AsOf.Era()
@@ -81,12 +94,17 @@
 	return err == nil && version.Era() == era
 }
 
-// noteOutdated logs the first of consecutive responses of an earlier era.
-func (f *Follower) noteOutdated(s *sourceState, d *vanillabarrow.Delta, held vanillabarrow.Version) {
+// noteOutdated counts a response of an earlier era, and logs the first of consecutive ones.
+func (f *Follower) noteOutdated(s *sourceState, err error) {
+	var outdated *outdatedError
+	if !errors.As(err, &outdated) {
+		return
+	}
 	f.Scope.Counter("responsesOutdated").Inc(1)
 	if !s.outdated {
-		f.Logger.Warn(logging.EventResponseOutdated, "call", callName(d), "asOf", d.AsOf, "held", held)
+		f.Logger.Warn(logging.EventResponseOutdated, "call", outdated.call, "asOf", outdated.version, "held", outdated.held)
 	}
+	s.outdated = true
 }
 
 // noteRevisionFell notes a listing or an exact probe whose revision is lower than the one
--- a/internal/discovery/probe.go
+++ b/internal/discovery/probe.go
@@ -100,6 +100,10 @@
 		w.abandon(fmt.Errorf("%w: %w", errProbeFailed, err))
 		return
 	}
+	if exact && version.Era() < w.after.Era() {
+		w.abandon(&outdatedError{call: "probe", version: version, held: w.after})
+		return
+	}
 	f.connectivity.recordResponse(time.Now())
 	f.probedAt.Store(time.Since(f.startedAt).Nanoseconds())
 	switch {
--- a/internal/discovery/probe_test.go
+++ b/internal/discovery/probe_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"strings"
@@ -21,17 +22,21 @@
 	tests := map[string]struct {
 		unavailable, ended bool
 		// revision is that of the platform, stale the one of reads that may be out of
-		// date. The node holds 3.
-		revision, stale vanillabarrow.Version
+		// date. The node holds held, 3 if that is 0.
+		revision, stale, held vanillabarrow.Version
 		// exact, ahead and begun are the state of the watch.
 		exact, ahead, begun bool
 		// confirmed is set if the data is confirmed, abandoned if the watch ends.
 		confirmed, abandoned bool
+		// cause is the error that ends the watch, any if it is nil.
+		cause error
 	}{
 		"responds":                         {revision: 3, stale: 3, confirmed: true},
 		"responds from an older copy":      {revision: 3, stale: 2, confirmed: true},
 		"went back":                        {revision: 2, stale: 2, abandoned: true},
 		"went back to a later era":         {revision: eraVersion(1, 2), stale: eraVersion(1, 2), abandoned: true},
+		"earlier era":                      {revision: eraVersion(1, 9), stale: eraVersion(1, 9), held: eraVersion(2, 3), abandoned: true, cause: errOutdated},
+		"same in its era":                  {revision: eraVersion(2, 3), stale: eraVersion(2, 3), held: eraVersion(2, 3), confirmed: true},
 		"newer, older copy":                {revision: 4, stale: 2},
 		"shows a newer revision":           {revision: 4, stale: 4},
 		"again":                            {revision: 4, stale: 4, ahead: true, abandoned: true},
@@ -47,14 +52,15 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			source := &fakeSource{mu: &sync.Mutex{}, store: &fakeStore{revision: tt.revision}, staleRevision: tt.stale, unavailable: tt.unavailable}
+			source := &fakeSource{mu: &sync.Mutex{}, store: &fakeStore{stated: tt.revision.Era().Stated(), revision: tt.revision}, staleRevision: tt.stale, unavailable: tt.unavailable}
 			f := NewFollower(Config{
 				Table: NewTable("a1", valueOrder{}), Members: membership.New("a1", "a", 1), Source: source, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 			})
-			f.Table.Merge(&vanillabarrow.Delta{AsOf: 3, Full: true, SourceAge: time.Minute}, time.Now())
+			held := cmp.Or(tt.held, 3)
+			f.Table.Merge(&vanillabarrow.Delta{AsOf: held, Full: true, SourceAge: time.Minute}, time.Now())
 			ctx, cancel := context.WithCancelCause(t.Context())
 			defer cancel(nil)
-			w := &waitingWatch{after: 3, exact: tt.exact, ahead: tt.ahead, abandon: cancel}
+			w := &waitingWatch{after: held, exact: tt.exact, ahead: tt.ahead, abandon: cancel}
 			w.begun.Store(tt.begun)
 			if !tt.ended {
 				f.watch.Store(w)
@@ -62,6 +68,7 @@
 			f.probe(t.Context(), w, w.exact)
 			require.Equal(t, tt.confirmed, time.Since(f.Table.ConfirmedAt()) < time.Second)
 			require.Equal(t, tt.abandoned, ctx.Err() != nil)
+			require.ErrorIs(t, context.Cause(ctx), cmp.Or(tt.cause, context.Cause(ctx)))
 		})
 	}
 }
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -189,6 +189,7 @@
 		f.relist(ctx, s, callStart)
 		return
 	}
+	f.noteOutdated(s, err)
 	cause := causeAfterError(err)
 	if cause == listAfterTooLarge && s.after > 0 {
 		f.listNext(s, cause)
