Name what the functions that judge responses do

isAnsweredElsewhere also counts and logs, and confirmsEra makes a call. The comment of checkVersion says that it moves a listing to the era that it begins.

--- a/internal/discovery/era.go
+++ b/internal/discovery/era.go
@@ -40,7 +40,7 @@
 		return err
 	}
 	isStated := d.AsOf.Era().Stated() > held.Era().Stated()
-	if held > 0 && isStated && !f.confirmsEra(ctx, s, d.AsOf.Era()) {
+	if held > 0 && isStated && !f.probeShowsEra(ctx, s, d.AsOf.Era()) {
 		return errRestored
 	}
 	if d.AsOf.Era() <= held.Era() {
@@ -52,7 +52,7 @@
 // checkVersion compares the version of a response with the one that was held when the
 // call began. Since the platform's responses are linearizable, a lower revision shows
 // that it lost changes. The listing after another response that shows it begins an era
-// that the platform did not announce.
+// that the platform did not announce, and is moved to that era.
 func (f *Follower) checkVersion(s *sourceState, d *vanillabarrow.Delta, held vanillabarrow.Version) error {
 	if s.fellIn != held.Era() {
 		s.revisionFell, s.watchFell = false, false
@@ -83,9 +83,10 @@
 	return nil
 }
 
-// confirmsEra reports whether a second response of the platform shows the later era of a
-// listing, since all nodes follow the first one that takes it.
-func (f *Follower) confirmsEra(ctx context.Context, s *sourceState, era vanillabarrow.Era) bool {
+// probeShowsEra reports whether a second response of the platform shows the later era of a
+// listing, a probe unless a response showed it before. All nodes follow the first one that
+// takes a later era.
+func (f *Follower) probeShowsEra(ctx context.Context, s *sourceState, era vanillabarrow.Era) bool {
 	if s.laterEra == era {
 		return true
 	}
@@ -140,9 +141,9 @@
 	return "watch"
 }
 
-// isAnsweredElsewhere reports whether a call failed although the platform responds, and
-// notes what the failure shows. A listing has to follow.
-func (f *Follower) isAnsweredElsewhere(s *sourceState, callStart time.Time, err error) bool {
+// recordResponsiveFailure notes what a failed call shows if the platform responds all the
+// same, so that a listing has to follow. It returns false for other failures.
+func (f *Follower) recordResponsiveFailure(s *sourceState, callStart time.Time, err error) bool {
 	var fell *revisionFellError
 	switch {
 	case errors.As(err, &fell):
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -184,7 +184,7 @@
 		f.relist(ctx, s, callStart)
 		return
 	}
-	if f.isAnsweredElsewhere(s, callStart, err) {
+	if f.recordResponsiveFailure(s, callStart, err) {
 		// The platform responds, so this is no failure of it.
 		f.relist(ctx, s, callStart)
 		return
