--- a/deploy/deploy.go
+++ b/deploy/deploy.go
@@ -1,4 +1,5 @@
-// Package deploy holds what is published with the program for its deployment.
+// Package deploy holds what is published with the program for its deployment. It is a
+// package because go:embed reaches no folder above its own.
 package deploy
 
 import _ "embed" // for NodeSettings
--- a/internal/discovery/restore.go
+++ b/internal/discovery/restore.go
@@ -19,7 +19,7 @@
 // are marked as lost. The items of the delta have been stored.
 func (t *Table) beginEra(listed map[string]bool, d *vanillabarrow.Delta, now time.Time) *EraChange {
 	change := &EraChange{Before: t.asOf, After: d.AsOf}
-	// KeepMissingUntil is that of a removal, which no writer takes back.
+	// KeepMissingUntil is for removals, but the writers of lost items write them again.
 	until := now.Add(outageGracePeriod)
 	for key, e := range t.entries {
 		if e.kept != nil {
@@ -62,6 +62,7 @@
 		return nil
 	}
 	if now.Before(older.KeepUntil) {
+		// A loss that is not in effect yet does not show that the writer removed the item.
 		older = asWritten(older)
 	}
 	older.Kept = true
--- a/items.go
+++ b/items.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// ErrHistoryLost is returned when the platform has discarded the changes after
-// the requested revision.
+// ErrHistoryLost is returned when the platform has discarded the changes after the
+// requested revision, or does not have that revision after a restore.
 var ErrHistoryLost = errors.New("history is no longer available")
 
 // ErrNoResponse is returned when the platform did not react at all before a timeout,
