Configure the nodes of a cost test before they start

The race detector ended TestRestoreBesideRemovedTargets in 1 of 6 runs of the package: the test set the compiler and the own target of nodes that were running. Fleets for costs are now made and started in two steps, and the test sets both in between. Bounds and changes are the same. It passes under the race detector.

--- a/internal/discovery/removed_targets_test.go
+++ b/internal/discovery/removed_targets_test.go
@@ -53,12 +53,13 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				defer random.Seed(1)()
-				f := startCostFleet(t, 195)
-				defer stopNodes(f.nodes)
+				f := newCostFleet(195)
 				for vm, n := range f.nodes {
 					n.follower.Compiler = removalCompiler{fakeCompiler{vms: f.vms}}
 					n.follower.OwnTarget = vanillabarrow.TargetRef{Name: "servers/" + vm}
 				}
+				startNodesOf(t, f.nodes)
+				defer stopNodes(f.nodes)
 				time.Sleep(15 * time.Second)
 				f.meter.take()
 				change(f)
--- a/internal/discovery/restore_cost_test.go
+++ b/internal/discovery/restore_cost_test.go
@@ -155,7 +155,8 @@
 	meter  *costMeter
 }
 
-func startCostFleet(t *testing.T, size int) *costFleet {
+// newCostFleet returns a fleet of nodes that are not started.
+func newCostFleet(size int) *costFleet {
 	f := &costFleet{
 		store: &fakeStore{values: map[string]string{}, stated: 1, reportsGaps: true}, nodes: map[string]*node{},
 		routes: newRouteTable(routeCount), meter: &costMeter{calls: map[string][]time.Time{}},
@@ -172,9 +173,6 @@
 		f.store.put("servers/"+vm, strings.Repeat("t", targetBytes))
 	}
 	f.store.put("op/config", f.routes.String())
-	for _, n := range f.nodes {
-		require.NoError(t, n.follower.Start())
-	}
 	return f
 }
 
@@ -244,7 +242,8 @@
 func TestRestoreStaysWithinReadBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		defer random.Seed(1)()
-		f := startCostFleet(t, 195)
+		f := newCostFleet(195)
+		startNodesOf(t, f.nodes)
 		defer stopNodes(f.nodes)
 		time.Sleep(3 * time.Second)
 		requireRestoreCost(t, f, 3*time.Second, time.Second, 3*time.Second)
@@ -262,7 +261,8 @@
 			t.Run(fmt.Sprint(size, " nodes, away for ", away), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					defer random.Seed(1)()
-					f := startCostFleet(t, size)
+					f := newCostFleet(size)
+					startNodesOf(t, f.nodes)
 					defer stopNodes(f.nodes)
 					time.Sleep(settlingTime)
 					f.meter.take()
