--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,8 @@
 # so that those with real sockets get the processor time they need. Results are
 # not cached, because one test builds the program, which the cache does not see.
 # The tests of platform/abuse and platform/restore load the machine and run last.
-# The tests of internal/discovery run in several processes: one that synchronizes
-# for long may be ended by the runtime of the race detector, see KNOWN-RED.txt.
+# The tests of internal/discovery run in several processes, since the race detector
+# may end one that uses many timers at once, see KNOWN-RED.txt.
 # TEST_SKIP is a pattern of tests to leave out.
 DISCOVERY_PARTS = Change Restore
 discovery_rest = ^Test($(subst $(space),|,$(DISCOVERY_PARTS)))
