--- a/internal/experiment/process.go
+++ b/internal/experiment/process.go
@@ -129,7 +129,12 @@
 
 // status requests the node's status from its operator address.
 func (p *process) status(ctx context.Context, client *http.Client) (*operator.Status, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.operator+"/status", nil)
+	return fetchStatus(ctx, client, p.operator)
+}
+
+// fetchStatus requests a node's status from its operator address.
+func fetchStatus(ctx context.Context, client *http.Client, address string) (*operator.Status, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/cmd/root/experiment.go
+++ b/pkg/cmd/root/experiment.go
@@ -7,6 +7,7 @@
 
 	"github.com/vanillabarrow/vanillabarrow/pkg/cmd/experiment/fleet"
 	"github.com/vanillabarrow/vanillabarrow/pkg/cmd/experiment/plot"
+	"github.com/vanillabarrow/vanillabarrow/pkg/cmd/experiment/restore"
 	"github.com/vanillabarrow/vanillabarrow/pkg/cmdutil"
 )
 
@@ -16,5 +17,5 @@
 func experimentCommands(f *cmdutil.Factory) []*ffcli.Command {
 	return []*ffcli.Command{cmdutil.NewGroup("experiment", "Measure fleets of nodes on one machine",
 		"vanillabarrow experiment fleet -nodes 25,50 > fleet.csv",
-		fleet.NewCmdFleet(f, nil), plot.NewCmdPlot(f, nil))}
+		fleet.NewCmdFleet(f, nil), plot.NewCmdPlot(f, nil), restore.NewCmdRestore(f, nil))}
 }
